--- a/cmd/egretroute/main.go
+++ b/cmd/egretroute/main.go
@@ -25,6 +25,7 @@
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&routerCommand{}, "processes")
 	commander.Register(&agentCommand{}, "processes")
+	commander.Register(&gatewayCommand{}, "processes")
 	commander.Register(&standinCommand{}, "processes")
 	commander.Register(&ctlCommand{}, "operators")
 	commander.Register(&checkCommand{}, "operators")
--- a/cmd/egretroute/process.go
+++ b/cmd/egretroute/process.go
@@ -40,7 +40,7 @@
 }
 
 func newLogger() *slog.Logger {
-	return logger.New(os.Stderr, slog.LevelInfo)
+	return logger.New(os.Stdout, slog.LevelInfo)
 }
 
 func listen(address string) (net.Listener, error) {
--- /dev/null
+++ b/internal/process/gateway/follow.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/registrar"
+	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/version/matcher"
+)
+
+const (
+	// feedWait is how long the store may keep a feed call waiting; a connection
+	// that has gone silent is found out after it.
+	feedWait = 1500 * time.Millisecond
+	// feedBackoff is the pause after a failed call.
+	feedBackoff = 100 * time.Millisecond
+	// stableAfter is how long the store must have answered before a deleted
+	// entry counts at once.
+	stableAfter = 3 * time.Second
+)
+
+// feedState is what is known of a table's feed.
+type feedState struct {
+	// answeredAt is when the last call was answered, failedAt when one failed.
+	answeredAt time.Time
+	failedAt   time.Time
+}
+
+// follower keeps a copy of one table.
+type tableFollower struct {
+	table   string
+	replace func(rows []storer.Row, stable bool)
+	change  func(row storer.Row, stable bool)
+}
+
+// follow reads a table whole and then its changes, until ctx ends.
+func (g *Gateway) follow(ctx context.Context, f tableFollower) {
+	state := feedState{failedAt: time.Now()}
+	next, listed := uint64(0), false
+	for ctx.Err() == nil {
+		var feed storer.Feed
+		var err error
+		if listed {
+			feed, err = g.Store.Watch(ctx, f.table, next, feedWait)
+		} else {
+			feed, err = g.Store.List(ctx, f.table)
+		}
+		now := time.Now()
+		switch {
+		case errors.Is(err, storer.ErrHistoryLost):
+			logger.FeedLost.Log(g.Log, "table", f.table, "version", next)
+			listed = false
+			state.failedAt = now
+			continue
+		case err != nil:
+			g.feedFailed(ctx, f.table, &state, err, now)
+			continue
+		}
+		if state.failedAt.After(state.answeredAt) {
+			logger.FeedAnswers.Log(g.Log, "table", f.table, "silentFor", now.Sub(state.answeredAt))
+		}
+		state.answeredAt = now
+		g.feeds.Store(f.table, state)
+		stable := now.Sub(state.failedAt) > stableAfter
+		if listed {
+			for _, row := range feed.Rows {
+				f.change(row, stable)
+			}
+		} else {
+			f.replace(feed.Rows, stable)
+		}
+		next, listed = feed.Next, true
+	}
+}
+
+func (g *Gateway) feedFailed(ctx context.Context, table string, state *feedState, err error, now time.Time) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !state.failedAt.After(state.answeredAt) {
+		logger.FeedFailed.Log(g.Log, "table", table, "error", err)
+	}
+	state.failedAt = now
+	g.feeds.Store(table, *state)
+	sleep(ctx, feedBackoff)
+}
+
+// feedAge returns how long ago the feed of a table was last answered.
+func (g *Gateway) feedAge(table string) time.Duration {
+	v, ok := g.feeds.Load(table)
+	if !ok {
+		return time.Hour
+	}
+	return time.Since(v.(feedState).answeredAt)
+}
+
+func (g *Gateway) followConfiguration(ctx context.Context) {
+	change := func(row storer.Row, _ bool) {
+		if g.Words.TargetID(row) == g.Words.ConfigurationKey && row.Value != nil {
+			g.takeConfiguration(row.Value)
+		}
+	}
+	g.follow(ctx, tableFollower{
+		table: g.Words.ConfigurationTable, change: change,
+		replace: func(rows []storer.Row, stable bool) {
+			for _, row := range rows {
+				change(row, stable)
+			}
+		},
+	})
+}
+
+// takeConfiguration puts a configuration in force unless a newer one is.
+func (g *Gateway) takeConfiguration(value []byte) {
+	doc, err := g.Words.DecodeConfiguration(value)
+	if err != nil {
+		logger.ConfigurationRefused.Log(g.Log, "error", err)
+		return
+	}
+	before := g.matcher.Load()
+	if before != nil && before.Document.Version >= doc.Version {
+		return
+	}
+	g.matcher.Store(matcher.New(doc))
+	logger.ConfigurationInForce.Log(g.Log, "version", doc.Version, "routes", len(doc.Routes), "organisations", len(doc.Organisations))
+}
+
+func (g *Gateway) followTargets(ctx context.Context) {
+	g.follow(ctx, tableFollower{
+		table: g.Words.TargetTable,
+		change: func(row storer.Row, stable bool) {
+			if row.Value == nil {
+				logger.TargetOut.Log(g.Log, "target", g.Words.TargetID(row), "revision", row.Version, "stable", stable)
+				g.targets.Delete(g.Words.TargetID(row), time.Now(), stable)
+				return
+			}
+			if e, ok := g.decodeTarget(row); ok && g.targets.Put(e) {
+				logger.TargetIn.Log(g.Log, "target", e.ID, "service", e.Service, "leaving", e.Leaving, "revision", e.Revision)
+			}
+		},
+		replace: func(rows []storer.Row, stable bool) {
+			var entries []registrar.Entry
+			for _, row := range rows {
+				if e, ok := g.decodeTarget(row); ok {
+					entries = append(entries, e)
+				}
+			}
+			g.targets.Replace(entries, time.Now(), stable)
+			logger.TargetsListed.Log(g.Log, "targets", len(entries), "stable", stable)
+		},
+	})
+}
+
+func (g *Gateway) decodeTarget(row storer.Row) (registrar.Entry, bool) {
+	e, err := g.Words.DecodeTarget(row)
+	if err != nil {
+		logger.TargetUnreadable.Log(g.Log, "target", g.Words.TargetID(row), "revision", row.Version, "error", err)
+		return e, false
+	}
+	return e, true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/gateway.go
@@ -0,0 +1,214 @@
+// Package gateway is the process on an entry host that serves callers straight
+// from targets which register themselves with the platform.
+//
+// It matches a request to its route and organisation, reserves its cost from
+// the router's stock, offers it to targets, passes on whole answers, and says
+// "not run" only where that is certain.
+//
+// # Usage
+//
+//	g := &gateway.Gateway{Name: "router-1", Store: store, Dialect: dialect, Words: words, ...}
+//	err := g.Run(ctx)
+//
+// The end of ctx starts a graceful stop: the gateway reports itself not ready,
+// serves until the balancer has taken notice, lets running requests finish,
+// returns its tokens and ends.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
+	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/registrar"
+	"github.com/egretroute/egretroute/internal/process/spender"
+	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/version/matcher"
+)
+
+// Store is what a gateway needs of the platform's store.
+type Store interface {
+	storer.Committer
+	storer.Watcher
+}
+
+// Words are the platform's names and decoders that a gateway uses.
+type Words struct {
+	ConfigurationTable  string
+	ConfigurationKey    string
+	TargetTable         string
+	ReadyPath           string
+	DecodeConfiguration func(value []byte) (*matcher.Document, error)
+	DecodeTarget        func(row storer.Row) (registrar.Entry, error)
+	TargetID            func(row storer.Row) string
+	// RowKey returns the key of one of the fleet's own rows.
+	RowKey func(table, key string) string
+}
+
+// Limits are the bounds within which a gateway works.
+type Limits struct {
+	// LeaveTime is how long a stopping gateway takes new connections.
+	LeaveTime time.Duration
+	// StopTime is how long a stop may take in all.
+	StopTime time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound what a service gets beyond
+	// the first send of each request, over the whole fleet.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// StockHorizon is the time for which stocks of tokens should last.
+	StockHorizon time.Duration
+}
+
+// Gateway serves callers on an entry host.
+//
+// Exported fields are set before Run.
+type Gateway struct {
+	Name            string
+	Incarnation     string
+	Domain          string
+	CallerListener  net.Listener
+	ReadyListener   net.Listener
+	MetricsListener net.Listener
+	Store           Store
+	Dialect         Dialect
+	Words           Words
+	Limits          Limits
+	Log             *slog.Logger
+	Registry        *prometheus.Registry
+
+	matcher  atomic.Pointer[matcher.Matcher]
+	targets  *registrar.Registrar
+	fleet    *fleet
+	pool     *exchanger.Pool
+	stock    *spender.Stocker
+	retries  *retryBudget
+	metrics  *metrics
+	leaving  atomic.Bool
+	feeds    sync.Map // table to feedState
+	callers  *http.Server
+	watching sync.WaitGroup
+}
+
+const (
+	// dialTimeout bounds a connection to a target: far above a round trip inside
+	// a region, far below the time that callers have.
+	dialTimeout = 300 * time.Millisecond
+	// maxIdleConnections is how many connections are kept to a target.
+	maxIdleConnections = 32
+	// headerTimeout, idleTimeout and maxHeaderBytes bound what callers send; the
+	// configuration's own limits are at most these.
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 75 * time.Second
+	maxHeaderBytes = 64 << 10
+	// stockInterval is how often settled costs are committed.
+	stockInterval = time.Second
+)
+
+// Run serves until ctx ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.targets = registrar.New()
+	g.fleet = newFleet()
+	g.pool = &exchanger.Pool{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections}
+	g.retries = &retryBudget{Limits: g.Limits}
+	g.metrics = newMetrics(g.Registry)
+	g.stock = &spender.Stocker{
+		Table: g.Store, Router: g.Name, Incarnation: g.Incarnation, Prefix: g.Words.RowKey("budgets", ""),
+		Horizon: g.Limits.StockHorizon, Interval: stockInterval, Committed: g.stockCommitted,
+		Unreadable: g.stockUnreadable, Recovered: g.stockRecovered,
+	}
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	g.watching.Go(func() { g.followConfiguration(work) })
+	g.watching.Go(func() { g.followTargets(work) })
+	g.watching.Go(func() { g.stock.Run(work) })
+	g.callers = &http.Server{
+		Handler: http.HandlerFunc(g.serveCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelDebug),
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 2)
+	go func() { failed <- g.callers.Serve(g.CallerListener) }()
+	go func() { failed <- ready.Serve(g.ReadyListener) }()
+	if g.MetricsListener != nil {
+		go g.serveMetrics()
+	}
+	logger.GatewayStarted.Log(g.Log, "router", g.Name, "incarnation", g.Incarnation, "domain", g.Domain)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	g.stop(stopWork)
+	_ = ready.Close()
+	return nil
+}
+
+// stop lets the balancer take notice, finishes running requests and returns all tokens.
+func (g *Gateway) stop(stopWork func()) {
+	begun := time.Now()
+	g.leaving.Store(true)
+	logger.GatewayLeaving.Log(g.Log, "router", g.Name, "running", g.fleet.running())
+	time.Sleep(g.Limits.LeaveTime)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.Limits.StopTime))
+	defer cancel()
+	finish, cancelFinish := context.WithDeadline(ctx, begun.Add(g.Limits.StopTime-returnTime))
+	defer cancelFinish()
+	err := g.callers.Shutdown(finish)
+	stopWork()
+	g.watching.Wait()
+	g.stock.Close(ctx)
+	logger.GatewayStopped.Log(g.Log, "router", g.Name, "took", time.Since(begun), "cut", err != nil)
+}
+
+// returnTime is kept of the stop time for the return of tokens.
+const returnTime = 500 * time.Millisecond
+
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != g.Words.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if g.leaving.Load() || g.matcher.Load() == nil || !g.targets.Known() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gateway) stockCommitted(rows int, err error) {
+	g.metrics.commits.WithLabelValues(outcomeOf(err)).Inc()
+	if err != nil && !errors.Is(err, storer.ErrConflict) {
+		logger.StockCommitFailed.Log(g.Log, "rows", rows, "error", err)
+	}
+}
+
+func (g *Gateway) stockUnreadable(organisation string, err error) {
+	logger.StockUnreadable.Log(g.Log, "organisation", organisation, "error", err)
+}
+
+func (g *Gateway) stockRecovered(organisation string, tokens int64) {
+	logger.StockRecovered.Log(g.Log, "organisation", organisation, "tokens", tokens)
+}
+
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, storer.ErrConflict):
+		return "conflict"
+	case errors.Is(err, storer.ErrRefused):
+		return "refused"
+	default:
+		return "unanswered"
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/metrics.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/egretroute/egretroute/internal/process/logger"
+)
+
+// metrics are the gateway's counters and latencies; no label names a request or a key.
+type metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
+	commits  *prometheus.CounterVec
+}
+
+func newMetrics(r *prometheus.Registry) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_requests_total", Help: "Requests by route kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "egretroute_gateway_first_byte_seconds", Help: "Time to the first byte of an answer by route kind.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"kind"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_sends_total", Help: "Sends to targets by outcome.",
+		}, []string{"outcome"}),
+		commits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_budget_commits_total", Help: "Commits of budget rows by outcome.",
+		}, []string{"outcome"}),
+	}
+	if r != nil {
+		r.MustRegister(m.requests, m.latency, m.sends, m.commits)
+	}
+	return m
+}
+
+func (m *metrics) firstByte(kind string, d time.Duration) {
+	m.latency.WithLabelValues(kind).Observe(d.Seconds())
+}
+
+func (g *Gateway) serveMetrics() {
+	srv := &http.Server{Handler: promhttp.HandlerFor(g.Registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTimeout}
+	if err := srv.Serve(g.MetricsListener); err != nil {
+		logger.MetricsStopped.Log(g.Log, "error", err)
+	}
+}
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -41,6 +41,32 @@
 	SlotStuck       = Event{251, slog.LevelWarn, "a dead owner's slot stays held", "bring the named routers back, or see the page on slots"}
 )
 
+// The events of gateways.
+var (
+	GatewayStarted       = Event{301, slog.LevelInfo, "gateway started", "none"}
+	GatewayLeaving       = Event{302, slog.LevelInfo, "gateway is leaving and will take no new connections", "none"}
+	GatewayStopped       = Event{303, slog.LevelInfo, "gateway has stopped and returned its tokens", "none; if requests were cut, look at the stop time of the settings"}
+	MetricsStopped       = Event{304, slog.LevelError, "metrics are served no more", "look at the metrics address of the settings"}
+	FeedFailed           = Event{310, slog.LevelWarn, "feed of a table is not answered", "look at the platform's store; what was last known holds on"}
+	FeedAnswers          = Event{311, slog.LevelInfo, "feed of a table is answered again", "none"}
+	FeedLost             = Event{312, slog.LevelWarn, "history of a table is lost; it is read anew", "none"}
+	ConfigurationInForce = Event{313, slog.LevelInfo, "configuration document in force", "none"}
+	ConfigurationRefused = Event{314, slog.LevelError, "configuration document could not be read", "check that the gateway's release knows the document's form"}
+	TargetsListed        = Event{320, slog.LevelInfo, "list of targets read whole", "none"}
+	TargetIn             = Event{321, slog.LevelInfo, "target entry changed", "none"}
+	TargetOut            = Event{322, slog.LevelInfo, "target entry is gone", "none"}
+	TargetUnreadable     = Event{323, slog.LevelWarn, "target entry can't be read and names no target", "look at what wrote the entry"}
+	SendFailed           = Event{330, slog.LevelWarn, "a send to a target failed", "look at the target and the link"}
+	TargetRefused        = Event{331, slog.LevelInfo, "a target did not run a request", "none; many of them mean that the service is full"}
+	TargetFailed         = Event{332, slog.LevelInfo, "a target answered with a failure", "look at the target"}
+	RequestEnded         = Event{340, slog.LevelInfo, "request answered", "none"}
+	RequestNotAnswered   = Event{341, slog.LevelWarn, "request not answered", "see docs/OPERATIONS.md"}
+	BudgetRefused        = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
+	StockCommitFailed    = Event{350, slog.LevelWarn, "commit of budget rows failed", "look at the platform's store; spending goes on from stocks"}
+	StockUnreadable      = Event{351, slog.LevelError, "budget row can't be read", "check that all routers run the same release"}
+	StockRecovered       = Event{352, slog.LevelWarn, "holding of an earlier incarnation is counted as spent", "none"}
+)
+
 // Catalogue lists every event by number.
 var Catalogue = []Event{
 	AgentStarted, AgentLeaving, AgentDrained, AgentCutOff, TargetCrashed, HolderFenced, PeerRefused, ClaimLoose,
@@ -48,4 +74,8 @@
 	RouterStarted, RouterReady, RouterLeaving, RouterStopped, RouterCutOff, FlushFailed, FlushRecovered,
 	IncarnationLost, AgentLinked, AgentLost, PeerLinked, PeerLost, HolderSuspected, HolderClosed, HolderStuck,
 	AnswerBroken, RequestUnknown, OperatorRefused, PatchApplied, SlotClosed, SlotStuck,
+	GatewayStarted, GatewayLeaving, GatewayStopped, MetricsStopped, FeedFailed, FeedAnswers, FeedLost,
+	ConfigurationInForce, ConfigurationRefused, TargetsListed, TargetIn, TargetOut, TargetUnreadable,
+	SendFailed, TargetRefused, TargetFailed, RequestEnded, RequestNotAnswered, BudgetRefused,
+	StockCommitFailed, StockUnreadable, StockRecovered,
 }
--- /dev/null
+++ b/internal/process/spender/stock.go
@@ -0,0 +1,170 @@
+package spender
+
+import (
+	"time"
+)
+
+// Row is the durable state of an organisation's prepaid budget, in tokens, as
+// the routers of a platform keep it: one row for each organisation, changed by
+// conditional commits only.
+//
+// Spent + the sum of Held never exceeds the limit that its writers know.
+type Row struct {
+	// Spent is what all requests have cost that are settled.
+	Spent   int64
+	Holders map[string]RowHolder
+}
+
+// RowHolder is what one incarnation of a router holds, in tokens.
+type RowHolder struct {
+	// Router is the name that all incarnations of a router share.
+	Router string
+	// Held is drawn and not settled yet.
+	Held int64
+	// Busy is the part of Held that running requests may cost at most.
+	Busy int64
+	// Rate is the holder's demand in tokens a second.
+	Rate float64
+	// Commit numbers the holder's commits; it resolves a commit whose answer was lost.
+	Commit uint64
+}
+
+// held returns the sum of all holdings but self's.
+func (r Row) heldByOthers(self string) int64 {
+	var sum int64
+	for name, h := range r.Holders {
+		if name != self {
+			sum += h.Held
+		}
+	}
+	return sum
+}
+
+// Stock policy figures.
+const (
+	// stockWindow is the time over which demand is averaged.
+	stockWindow = 5 * time.Second
+	// returnFactor is how far above its target a holding may stand before the
+	// rest goes back.
+	returnFactor = 1.5
+	// drawFactor is the fraction of its target below which a holding is refilled.
+	drawFactor = 0.8
+)
+
+// StockView is what decides how much a holder should hold, in tokens.
+type StockView struct {
+	Limit int64
+	Spent int64
+	// OthersHeld and OthersRate sum up the other holders.
+	OthersHeld int64
+	OthersRate float64
+	// Others is the number of other holders.
+	Others int
+	// Held is what this holder holds, Busy what of it is promised, Need what a
+	// request that could not be covered asks for.
+	Held int64
+	Busy int64
+	Need int64
+	Rate float64
+	// Horizon is the time for which a stock should last.
+	Horizon time.Duration
+}
+
+// StockTarget returns what a holder should hold.
+//
+// It answers the load of a cut: a holder must live on its stock for the length
+// of the cut, and whatever it holds can't be used elsewhere. So it holds its
+// demand over the horizon, but never more than its share of what is left by
+// demand, which shrinks by itself as the budget runs out.
+func StockTarget(v StockView) int64 {
+	pool := v.Limit - v.Spent - v.Busy
+	if pool <= 0 {
+		return v.Busy
+	}
+	share := 1.0 / float64(v.Others+1)
+	if v.Rate+v.OthersRate > 0 {
+		share = evenShare*share + (1-evenShare)*v.Rate/(v.Rate+v.OthersRate)
+	}
+	least := evenShare * float64(pool) / float64(v.Others+1)
+	stock := min(max(v.Rate*v.Horizon.Seconds(), least), float64(pool)*share)
+	return v.Busy + max(int64(stock), v.Need)
+}
+
+// StockChange returns what to draw (positive) or return (negative) now.
+func StockChange(v StockView) int64 {
+	target := StockTarget(v)
+	room := max(v.Limit-v.Spent-v.OthersHeld-v.Held, 0)
+	free := v.Held - v.Busy
+	wanted := target - v.Busy
+	switch {
+	case free < v.Need || float64(free) < drawFactor*float64(wanted):
+		return min(wanted-free, room)
+	case float64(free) > returnFactor*float64(wanted):
+		return wanted - free
+	default:
+		return 0
+	}
+}
+
+// stockAccount is the local state of one organisation's holding, in tokens.
+type stockAccount struct {
+	limit int64
+	// held is what the last row known to be committed gives this holder.
+	held int64
+	// spent is settled and not yet committed; busy is promised to running requests.
+	spent int64
+	busy  int64
+	// need is the largest reservation that failed since the last commit.
+	need int64
+	// rate is demand in tokens a second.
+	rate meter
+	// version and row are the platform's row as last seen, at seenAt.
+	version uint64
+	row     Row
+	seenAt  time.Time
+	// commit numbers the commits; open is the one whose outcome isn't known. It
+	// is sent again unchanged until it is: its condition lets it take effect once.
+	commit uint64
+	open   *stockPlan
+	// touched is when the last request came.
+	touched time.Time
+	// changed is set by every settlement or failed reservation.
+	changed bool
+}
+
+// stockPlan is a change of one row that was sent.
+type stockPlan struct {
+	commit  uint64
+	settle  int64
+	newHeld int64
+	row     Row
+	// unanswered is set once the plan was sent and no answer came.
+	unanswered bool
+}
+
+// free returns what a new reservation may take; tokens on their way back are
+// not free, and neither are tokens drawn by a commit of unknown outcome.
+func (a *stockAccount) free() int64 {
+	held := a.held
+	if a.open != nil {
+		held = min(held, a.open.newHeld+a.open.settle)
+	}
+	return held - a.spent - a.busy
+}
+
+// view returns what decides the change of the holding.
+func (a *stockAccount) view(self string, horizon time.Duration, now time.Time) StockView {
+	v := StockView{
+		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held - a.spent, Busy: a.busy, Need: a.need,
+		Rate: a.rate.value(now), Horizon: horizon,
+	}
+	for name, h := range a.row.Holders {
+		if name == self {
+			continue
+		}
+		v.Others++
+		v.OthersHeld += h.Held
+		v.OthersRate += h.Rate
+	}
+	return v
+}
--- /dev/null
+++ b/internal/process/spender/stocker.go
@@ -0,0 +1,418 @@
+package spender
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/process/storer"
+)
+
+// Errors of reservations.
+var (
+	// ErrExhausted is returned when what all settled requests have cost leaves
+	// no room for the request.
+	ErrExhausted = errors.New("the budget is spent")
+	// ErrElsewhere is returned when the budget may cover the request, but the
+	// tokens are held elsewhere or can't be drawn now.
+	ErrElsewhere = errors.New("the budget's tokens are held elsewhere")
+)
+
+const (
+	// maxCommitRows is how many rows one commit changes, by the platform's page
+	// (100 entries, of which each row takes two).
+	maxCommitRows = 50
+	// commitTries is how often a commit is tried anew with the rows that it
+	// conflicted with.
+	commitTries = 4
+)
+
+// Stocker holds one incarnation's stocks of all prepaid budgets and keeps them
+// filled by conditional commits.
+//
+// Exported fields are set before Run.
+type Stocker struct {
+	Table storer.Committer
+	// Router is the name that this process shares with its earlier incarnations,
+	// which have ended for certain once this one runs.
+	Router      string
+	Incarnation string
+	// Prefix is the prefix of the rows' keys.
+	Prefix string
+	// Horizon is the time for which stocks should last.
+	Horizon time.Duration
+	// Interval is how often settlements are committed.
+	Interval time.Duration
+	// Committed is called after every commit with its outcome.
+	Committed func(rows int, err error)
+	// Unreadable is called for a row that can't be decoded.
+	Unreadable func(organisation string, err error)
+	// Recovered is called when an earlier incarnation's holding was taken over.
+	Recovered func(organisation string, tokens int64)
+
+	mu       sync.Mutex // guards all below
+	accounts map[string]*stockAccount
+	waiters  []chan struct{}
+	kick     chan struct{}
+	failing  bool
+}
+
+// Reserve sets aside the most that a request may cost.
+//
+// limit is the budget by the newest configuration. It returns ErrElsewhere if
+// more tokens must be drawn first.
+func (s *Stocker) Reserve(organisation string, limit, amount int64, now time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(organisation)
+	a.limit = limit
+	a.touched = now
+	return s.reserve(a, amount)
+}
+
+func (s *Stocker) reserve(a *stockAccount, amount int64) error {
+	if a.free() >= amount {
+		a.busy += amount
+		return nil
+	}
+	if a.row.Spent+a.spent+amount > a.limit {
+		return ErrExhausted
+	}
+	a.need = max(a.need, amount)
+	a.changed = true
+	s.wake()
+	return ErrElsewhere
+}
+
+// Demand counts what a request asks for, granted or not.
+func (s *Stocker) Demand(organisation string, amount int64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account(organisation).rate.add(amount, now)
+}
+
+// Settle ends a reservation with its cost.
+func (s *Stocker) Settle(organisation string, amount, cost int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(organisation)
+	a.busy -= amount
+	a.spent += min(max(cost, 0), amount)
+	a.changed = true
+}
+
+// Wait returns a channel that closes after the next commit, and whether
+// commits succeed at the moment.
+func (s *Stocker) Wait() (done <-chan struct{}, answering bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ch := make(chan struct{})
+	s.waiters = append(s.waiters, ch)
+	return ch, !s.failing
+}
+
+// Balance describes an account for logs.
+type Balance struct {
+	Limit int64
+	// Spent is what is settled everywhere, as far as known.
+	Spent int64
+	// Held, Free and Elsewhere are this holder's tokens, those it could reserve,
+	// and those of the other holders.
+	Held      int64
+	Free      int64
+	Elsewhere int64
+	// Age is how old the platform's row is.
+	Age time.Duration
+}
+
+// Balance returns the state of an account.
+func (s *Stocker) Balance(organisation string, now time.Time) Balance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(organisation)
+	return Balance{
+		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held, Free: a.free(),
+		Elsewhere: a.row.heldByOthers(s.Incarnation), Age: now.Sub(a.seenAt),
+	}
+}
+
+// Run keeps the stocks until ctx ends; then it returns all tokens that are free.
+func (s *Stocker) Run(ctx context.Context) {
+	timer := time.NewTicker(s.Interval)
+	defer timer.Stop()
+	for {
+		urgent := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.kicked():
+			urgent = true
+		}
+		s.flush(ctx, urgent, false)
+	}
+}
+
+// Close settles everything and gives all free tokens back, until ctx ends.
+func (s *Stocker) Close(ctx context.Context) {
+	for ctx.Err() == nil && !s.flush(ctx, false, true) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(s.Interval / 4):
+		}
+	}
+}
+
+func (s *Stocker) kicked() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.kick == nil {
+		s.kick = make(chan struct{}, 1)
+	}
+	return s.kick
+}
+
+// wake asks for a commit at once; the caller holds mu.
+func (s *Stocker) wake() {
+	if s.kick == nil {
+		s.kick = make(chan struct{}, 1)
+	}
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// flush commits what is due and reports whether nothing is left to commit.
+func (s *Stocker) flush(ctx context.Context, urgent, closing bool) (clean bool) {
+	var err error
+	for range commitTries {
+		var names []string
+		names, err = s.commit(ctx, urgent, closing)
+		if len(names) == 0 || !errors.Is(err, storer.ErrConflict) {
+			clean = len(names) == 0
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = err != nil && !errors.Is(err, storer.ErrConflict)
+	for _, ch := range s.waiters {
+		close(ch)
+	}
+	s.waiters = nil
+	return clean
+}
+
+// commit sends one commit for the accounts that are due and takes over its outcome.
+func (s *Stocker) commit(ctx context.Context, urgent, closing bool) (names []string, err error) {
+	now := time.Now()
+	names, c := s.plan(now, urgent, closing)
+	if len(names) == 0 {
+		return nil, nil
+	}
+	version, err := s.Table.CommitAt(ctx, c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var conflict *storer.ConflictError
+	switch {
+	case err == nil:
+		for _, name := range names {
+			s.accounts[name].applied(version, now)
+		}
+	case errors.As(err, &conflict):
+		s.takeOver(names, conflict.Rows, now)
+	case errors.Is(err, storer.ErrRefused):
+		for _, name := range names {
+			if a := s.accounts[name]; !a.open.unanswered {
+				a.open = nil
+			}
+		}
+	default:
+		for _, name := range names {
+			s.accounts[name].open.unanswered = true
+		}
+	}
+	if s.Committed != nil {
+		s.Committed(len(names), err)
+	}
+	return names, err
+}
+
+// plan makes up the commit of all accounts that are due.
+func (s *Stocker) plan(now time.Time, urgent, closing bool) ([]string, storer.Commit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	var c storer.Commit
+	for name, a := range s.accounts {
+		if len(names) == maxCommitRows {
+			break
+		}
+		p := s.planAccount(a, now, urgent, closing)
+		if p == nil {
+			continue
+		}
+		a.open = p
+		c.Update(s.Prefix+name, a.version, encodeStockRow(p.row))
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names, c
+}
+
+// planAccount returns the change of one row, or nil if none is due.
+func (s *Stocker) planAccount(a *stockAccount, now time.Time, urgent, closing bool) *stockPlan {
+	if a.open != nil {
+		return a.open
+	}
+	if !a.changed && !closing {
+		return nil
+	}
+	change := int64(0)
+	if closing {
+		change = -(a.held - a.spent - a.busy)
+	} else {
+		change = StockChange(a.view(s.Incarnation, s.Horizon, now))
+	}
+	if urgent && a.need == 0 {
+		return nil
+	}
+	if change == 0 && a.spent == 0 && a.version != 0 {
+		a.changed = false
+		a.need = 0
+		return nil
+	}
+	if closing && a.held == 0 && a.spent == 0 {
+		return nil
+	}
+	a.commit++
+	p := &stockPlan{commit: a.commit, settle: a.spent, newHeld: a.held - a.spent + change}
+	p.row = Row{Spent: a.row.Spent + a.spent, Holders: make(map[string]RowHolder, len(a.row.Holders)+1)}
+	for name, h := range a.row.Holders {
+		if name != s.Incarnation {
+			p.row.Holders[name] = h
+		}
+	}
+	if p.newHeld > 0 || !closing {
+		p.row.Holders[s.Incarnation] = RowHolder{
+			Router: s.Router, Held: p.newHeld, Busy: a.busy, Rate: a.rate.value(now), Commit: a.commit,
+		}
+	}
+	return p
+}
+
+// applied takes over the last commit, which took effect.
+func (a *stockAccount) applied(version uint64, now time.Time) {
+	p := a.open
+	a.open = nil
+	a.held = p.newHeld
+	a.spent -= p.settle
+	a.row, a.version, a.seenAt = p.row, version, now
+	a.need = 0
+	a.changed = a.spent > 0
+}
+
+// takeOver takes the rows of a conflict as the platform has them now and
+// resolves open commits; a row that the platform doesn't list doesn't exist.
+func (s *Stocker) takeOver(names []string, rows []storer.Row, now time.Time) {
+	byName := make(map[string]storer.Row, len(rows))
+	for _, r := range rows {
+		byName[strings.TrimPrefix(r.Key, s.Prefix)] = r
+	}
+	for _, name := range names {
+		row, err := decodeStockRow(byName[name].Value)
+		if err != nil {
+			s.failed(name, err)
+			continue
+		}
+		a := s.accounts[name]
+		mine := row.Holders[s.Incarnation]
+		if a.open != nil && a.open.commit == mine.Commit {
+			a.spent -= a.open.settle
+		}
+		a.open = nil
+		a.held = mine.Held
+		a.version, a.row, a.seenAt = byName[name].Version, row, now
+		a.changed = true
+		s.recover(name, a)
+	}
+}
+
+// failed reports a row that can't be read.
+func (s *Stocker) failed(organisation string, err error) {
+	if s.Unreadable != nil {
+		s.Unreadable(organisation, err)
+	}
+}
+
+// recover counts the holdings of this router's earlier incarnations as spent:
+// what they spent of them isn't known.
+func (s *Stocker) recover(organisation string, a *stockAccount) {
+	for name, h := range a.row.Holders {
+		if h.Router != s.Router || name == s.Incarnation {
+			continue
+		}
+		a.row.Spent += h.Held
+		delete(a.row.Holders, name)
+		a.changed = true
+		if s.Recovered != nil {
+			s.Recovered(organisation, h.Held)
+		}
+	}
+}
+
+// account returns the account of an organisation, made on first use; the caller holds mu.
+func (s *Stocker) account(organisation string) *stockAccount {
+	a, ok := s.accounts[organisation]
+	if !ok {
+		a = &stockAccount{rate: meter{window: stockWindow}}
+		if s.accounts == nil {
+			s.accounts = make(map[string]*stockAccount)
+		}
+		s.accounts[organisation] = a
+	}
+	return a
+}
+
+// wireStockRow is the form of a Row in the table.
+type wireStockRow struct {
+	Spent   int64                      `json:"spent"`
+	Holders map[string]wireStockHolder `json:"holders"`
+}
+
+type wireStockHolder struct {
+	Router string  `json:"router"`
+	Held   int64   `json:"held"`
+	Busy   int64   `json:"busy"`
+	Rate   float64 `json:"rate"`
+	Commit uint64  `json:"commit"`
+}
+
+func encodeStockRow(r Row) []byte {
+	w := wireStockRow{Spent: r.Spent, Holders: make(map[string]wireStockHolder, len(r.Holders))}
+	for name, h := range r.Holders {
+		w.Holders[name] = wireStockHolder(h)
+	}
+	b, _ := json.Marshal(w) // numbers, texts and maps of them always encode
+	return b
+}
+
+func decodeStockRow(b []byte) (Row, error) {
+	var w wireStockRow
+	if len(b) > 0 {
+		if err := json.Unmarshal(b, &w); err != nil {
+			return Row{}, errors.Wrap(err, "decode budget row")
+		}
+	}
+	r := Row{Spent: w.Spent, Holders: make(map[string]RowHolder, len(w.Holders))}
+	for name, h := range w.Holders {
+		r.Holders[name] = RowHolder(h)
+	}
+	return r, nil
+}
--- a/internal/process/storer/memory.go
+++ b/internal/process/storer/memory.go
@@ -52,13 +52,26 @@
 }
 
 // Commit implements Table.Commit.
-func (m *Memory) Commit(_ context.Context, c Commit) error {
+func (m *Memory) Commit(ctx context.Context, c Commit) error {
+	_, err := m.CommitAt(ctx, c)
+	return err
+}
+
+// CommitAt implements Committer.CommitAt.
+func (m *Memory) CommitAt(_ context.Context, c Commit) (uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	conflict := false
+	current := make([]Row, 0, len(c.Conditions))
 	for _, cond := range c.Conditions {
-		if m.rows[cond.Key].Version != cond.Version {
-			return ErrConflict
+		row, ok := m.rows[cond.Key]
+		if ok {
+			current = append(current, row)
 		}
+		conflict = conflict || row.Version != cond.Version
+	}
+	if conflict {
+		return 0, &ConflictError{Rows: current}
 	}
 	m.commits++
 	for _, w := range c.Writes {
@@ -68,7 +81,7 @@
 		}
 		m.rows[w.Key] = Row{Key: w.Key, Version: m.commits, Value: w.Value}
 	}
-	return nil
+	return m.commits, nil
 }
 
 // Commits returns how many commits took effect.
--- a/internal/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -28,8 +29,27 @@
 	ErrConflict = errors.New("a row has changed since it was read")
 	// ErrUnavailable is returned when no answer came; a commit may have taken effect.
 	ErrUnavailable = errors.New("the platform did not answer")
+	// ErrRefused is returned when the platform turned a call away; nothing was written.
+	ErrRefused = errors.New("the platform refused the call")
+	// ErrHistoryLost is returned when a feed can't go on from the version asked for.
+	ErrHistoryLost = errors.New("the platform has dropped the history asked for")
 )
 
+// ConflictError is an ErrConflict that carries the rows as they are now.
+type ConflictError struct {
+	Rows []Row
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return ErrConflict.Error()
+}
+
+// Is reports whether target is ErrConflict.
+func (e *ConflictError) Is(target error) bool {
+	return target == ErrConflict
+}
+
 // Row is one versioned row of the table.
 type Row struct {
 	Key     string
@@ -71,6 +91,30 @@
 	Commit(ctx context.Context, c Commit) error
 }
 
+// Committer is a table whose commits tell the version that they gave their rows.
+type Committer interface {
+	// CommitAt applies c and returns the version of the rows written, or an
+	// error as Table.Commit does; a conflict is a *ConflictError.
+	CommitAt(ctx context.Context, c Commit) (version uint64, err error)
+}
+
+// Feed is one answer of a Watcher.
+type Feed struct {
+	// Rows are the rows that changed, oldest first; a deleted row has no value.
+	Rows []Row
+	// Next is the version to go on from.
+	Next uint64
+}
+
+// Watcher reads a whole table and follows its changes.
+type Watcher interface {
+	// List returns all rows of a table and the version that they are as of.
+	List(ctx context.Context, table string) (Feed, error)
+	// Watch returns the changes after a version as soon as there are any, or an
+	// empty Feed after the wait; ErrHistoryLost asks for a new List.
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Feed, error)
+}
+
 // ReadOne reads a single row.
 func ReadOne(ctx context.Context, t Table, key string) (Row, error) {
 	rows, err := t.Read(ctx, key)
