Stock: marks ahead of spend, beats, and recovery of a dead router's unpromised tokens

Ruled out: lost commits, double settlement.

Change: a holding carries a mark (what may be promised at once) and a slope (how much more with each second since the last beat). A successor counts only what was authorised as spent. Stocks are drawn as soon as organisations are known.

--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -126,6 +126,11 @@
 		return
 	}
 	g.matcher.Store(matcher.New(doc))
+	for _, o := range doc.Organisations {
+		if o.Limited {
+			g.stock.Watch(o.Name, o.Prepaid)
+		}
+	}
 	logger.ConfigurationInForce.Log(g.Log, "version", doc.Version, "routes", len(doc.Routes), "organisations", len(doc.Organisations))
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -90,6 +90,7 @@
 	targets  *registrar.Registrar
 	fleet    *fleet
 	pool     *exchanger.Pool
+	beats    *spender.Beater
 	stock    *spender.Stocker
 	retries  *retryBudget
 	metrics  *metrics
@@ -121,15 +122,20 @@
 	g.pool = &exchanger.Pool{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections}
 	g.retries = &retryBudget{Limits: g.Limits}
 	g.metrics = newMetrics(g.Registry)
+	g.beats = &spender.Beater{
+		Table: g.Store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name),
+		Failed: g.beatsFailed, Back: g.beatsBack,
+	}
 	g.stock = &spender.Stocker{
 		Table: g.Store, Router: g.Name, Incarnation: g.Incarnation, Prefix: g.Words.RowKey("budgets", ""),
 		Horizon: g.Limits.StockHorizon, Interval: stockInterval, Committed: g.stockCommitted,
-		Unreadable: g.stockUnreadable, Recovered: g.stockRecovered,
+		Unreadable: g.stockUnreadable, Recovered: g.stockRecovered, Beats: g.beats,
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	g.watching.Go(func() { g.followConfiguration(work) })
 	g.watching.Go(func() { g.followTargets(work) })
+	g.watching.Go(func() { g.beats.Run(work) })
 	g.watching.Go(func() { g.stock.Run(work) })
 	g.callers = &http.Server{
 		Handler: http.HandlerFunc(g.serveCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -196,8 +202,16 @@
 	logger.StockUnreadable.Log(g.Log, "organisation", organisation, "error", err)
 }
 
-func (g *Gateway) stockRecovered(organisation string, tokens int64) {
-	logger.StockRecovered.Log(g.Log, "organisation", organisation, "tokens", tokens)
+func (g *Gateway) stockRecovered(organisation string, spent, returned int64) {
+	logger.StockRecovered.Log(g.Log, "organisation", organisation, "spent", spent, "returned", returned)
+}
+
+func (g *Gateway) beatsFailed(err error) {
+	logger.BeatsFailed.Log(g.Log, "router", g.Name, "error", err)
+}
+
+func (g *Gateway) beatsBack(silence time.Duration) {
+	logger.BeatsBack.Log(g.Log, "router", g.Name, "silence", silence)
 }
 
 func outcomeOf(err error) string {
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -22,7 +22,7 @@
 	defaultTimeout = 30 * time.Second
 	// drawWait is how long a request waits for tokens to be drawn: some commits
 	// of a store that answers.
-	drawWait = 250 * time.Millisecond
+	drawWait = time.Second
 	// drawTries is how many commits a request waits for.
 	drawTries = 3
 	// freshConfiguration is the age up to which a configuration may be taken for
@@ -206,10 +206,10 @@
 		return nil
 	}
 	g.stock.Demand(name, amount, q.begun)
-	waitUntil := time.Now().Add(drawWait)
+	waitUntil := q.begun.Add(min(drawWait, q.deadline.Sub(q.begun)/3))
 	var err error
 	for range drawTries {
-		if err = g.stock.Reserve(name, q.organisation.Prepaid, amount, time.Now()); err == nil {
+		if err = g.stock.Reserve(name, q.organisation.Prepaid, amount); err == nil {
 			q.reserved = amount
 			return nil
 		}
@@ -259,7 +259,7 @@
 		}
 		cost = q.PromptTokens + min(q.delivered*events, q.MaxOutputTokens)
 	}
-	g.stock.Settle(q.organisation.Name, q.reserved, cost)
+	g.stock.Settle(q.organisation.Name, q.reserved, cost, time.Now())
 }
 
 // refuse sends an answer of the gateway's own.
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -64,7 +64,9 @@
 	BudgetRefused        = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
 	StockCommitFailed    = Event{350, slog.LevelWarn, "commit of budget rows failed", "look at the platform's store; spending goes on from stocks"}
 	StockUnreadable      = Event{351, slog.LevelError, "budget row can't be read", "check that all routers run the same release"}
-	StockRecovered       = Event{352, slog.LevelWarn, "holding of an earlier incarnation is counted as spent", "none"}
+	StockRecovered       = Event{352, slog.LevelWarn, "holding of an earlier incarnation is taken over", "none; what it may have spent counts as spent"}
+	BeatsFailed          = Event{353, slog.LevelWarn, "the platform's store is lost", "look at the store and the link; spending goes on from stocks"}
+	BeatsBack            = Event{354, slog.LevelInfo, "the platform's store is back", "none"}
 )
 
 // Catalogue lists every event by number.
@@ -77,5 +79,5 @@
 	GatewayStarted, GatewayLeaving, GatewayStopped, MetricsStopped, FeedFailed, FeedAnswers, FeedLost,
 	ConfigurationInForce, ConfigurationRefused, TargetsListed, TargetIn, TargetOut, TargetUnreadable,
 	SendFailed, TargetRefused, TargetFailed, RequestEnded, RequestNotAnswered, BudgetRefused,
-	StockCommitFailed, StockUnreadable, StockRecovered,
+	StockCommitFailed, StockUnreadable, StockRecovered, BeatsFailed, BeatsBack,
 }
--- /dev/null
+++ b/internal/process/spender/beater.go
@@ -0,0 +1,196 @@
+package spender
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/process/storer"
+)
+
+const (
+	// beatInterval is how often a router shows that it is in touch with the platform.
+	beatInterval = 500 * time.Millisecond
+	// unknownSilence stands for the silence of an incarnation that isn't known.
+	unknownSilence = 24 * time.Hour
+)
+
+// Beater writes a router's row with the time at which it was last in touch with
+// the platform, and learns from it how long its predecessor can have lived on
+// without.
+//
+// Times are by the platform's steady clock; a beat's time is a lower bound of
+// when it took effect. Exported fields are set before Run.
+type Beater struct {
+	Table       storer.Committer
+	Incarnation string
+	Key         string
+	// Failed and Back are called when beats stop and begin to take effect.
+	Failed func(err error)
+	Back   func(silence time.Duration)
+
+	mu      sync.Mutex // guards all below
+	started time.Time
+	// clock is the platform's clock as of its answer at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// beatAt is when the newest beat was made up, whether or not it took effect.
+	beatAt      time.Time
+	version     uint64
+	predecessor string
+	silence     time.Duration
+	known       chan struct{}
+	failing     bool
+}
+
+// wireBeat is the form of a beat in the table.
+type wireBeat struct {
+	Incarnation string `json:"incarnation"`
+	AtMillis    int64  `json:"atMillis"`
+}
+
+// Age returns the time since the newest beat was made up.
+func (b *Beater) Age() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.beatAt.IsZero() {
+		return 0
+	}
+	return time.Since(b.beatAt)
+}
+
+// Silence returns an upper bound of how long after its last beat an earlier
+// incarnation of this router can have lived.
+func (b *Beater) Silence(incarnation string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if incarnation == b.predecessor {
+		return b.silence
+	}
+	return unknownSilence
+}
+
+// WaitKnown waits until the predecessor's beat is known.
+func (b *Beater) WaitKnown(ctx context.Context) bool {
+	select {
+	case <-b.knownChan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (b *Beater) knownChan() chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.known == nil {
+		b.known = make(chan struct{})
+	}
+	return b.known
+}
+
+// Run beats until ctx ends.
+func (b *Beater) Run(ctx context.Context) {
+	known := b.knownChan()
+	b.mu.Lock()
+	b.started = time.Now()
+	b.mu.Unlock()
+	var open *storer.Commit
+	learned := false
+	for ctx.Err() == nil {
+		if open == nil {
+			open = b.next()
+		}
+		sent := time.Now()
+		receipt, err := b.Table.CommitAt(ctx, *open)
+		var conflict *storer.ConflictError
+		switch {
+		case err == nil:
+			b.answered(receipt.Clock, receipt.Version)
+			open = nil
+		case errors.As(err, &conflict):
+			b.conflicted(conflict, sent)
+			open = nil
+		}
+		if !learned && (err == nil || conflict != nil) {
+			learned = true
+			close(known)
+		}
+		b.report(err, conflict != nil)
+		if conflict == nil {
+			pause(ctx, beatInterval)
+		}
+	}
+}
+
+// next makes up a beat; it is sent unchanged until its outcome is known, so that
+// no beat can take effect that is younger than beatAt.
+func (b *Beater) next() *storer.Commit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.beatAt = now
+	at := b.clock
+	if !b.clockAt.IsZero() {
+		at += now.Sub(b.clockAt)
+	}
+	value, _ := json.Marshal(wireBeat{Incarnation: b.Incarnation, AtMillis: at.Milliseconds()}) // always encodes
+	c := &storer.Commit{}
+	c.Update(b.Key, b.version, value)
+	return c
+}
+
+func (b *Beater) answered(clock time.Duration, version uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.clock, b.clockAt, b.version = clock, time.Now(), version
+}
+
+// conflicted learns the row: this incarnation's own beat, whose answer was lost,
+// or the predecessor's.
+func (b *Beater) conflicted(conflict *storer.ConflictError, sent time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.clock, b.clockAt, b.version = conflict.Clock, time.Now(), 0
+	var beat wireBeat
+	for _, row := range conflict.Rows {
+		b.version = row.Version
+		if err := json.Unmarshal(row.Value, &beat); err != nil {
+			return // an unreadable beat leaves the silence unknown
+		}
+	}
+	if beat.Incarnation == "" || beat.Incarnation == b.Incarnation {
+		return
+	}
+	// The predecessor had ended when this process started, at most this much
+	// platform time after its beat.
+	start := conflict.Clock - sent.Sub(b.started)
+	b.predecessor = beat.Incarnation
+	b.silence = start - time.Duration(beat.AtMillis)*time.Millisecond
+}
+
+func (b *Beater) report(err error, conflict bool) {
+	b.mu.Lock()
+	was := b.failing
+	b.failing = err != nil && !conflict
+	failing, silence := b.failing, time.Since(b.beatAt)
+	b.mu.Unlock()
+	switch {
+	case failing && !was && b.Failed != nil:
+		b.Failed(err)
+	case !failing && was && b.Back != nil:
+		b.Back(silence)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -21,6 +21,10 @@
 	Router string
 	// Held is drawn and not settled yet.
 	Held int64
+	// Mark is how much of Held the holder may promise at once, Slope how much
+	// more it may promise with each second since its last beat.
+	Mark  int64
+	Slope float64
 	// Busy is the part of Held that running requests may cost at most.
 	Busy int64
 	// Rate is the holder's demand in tokens a second.
@@ -29,7 +33,20 @@
 	Commit uint64
 }
 
-// held returns the sum of all holdings but self's.
+// Authorised returns how much of a holding its holder may have promised at a
+// time since its last beat.
+//
+// It answers the death of holders: what they promised since their last commit
+// isn't known and must count as spent, so as little as possible may be promised
+// unseen while the platform answers, and all of it when it has been away for long.
+func (h RowHolder) Authorised(sinceBeat time.Duration) int64 {
+	if sinceBeat >= FullAfter {
+		return h.Held
+	}
+	return min(h.Held, h.Mark+int64(h.Slope*max(sinceBeat.Seconds(), 0)))
+}
+
+// heldByOthers returns the sum of all holdings but self's.
 func (r Row) heldByOthers(self string) int64 {
 	var sum int64
 	for name, h := range r.Holders {
@@ -42,6 +59,16 @@
 
 // Stock policy figures.
 const (
+	// markTime is the demand that a mark covers beside running requests: two
+	// intervals of settlement, one of which may fail.
+	markTime = 1500 * time.Millisecond
+	// slopeFactor is how much faster than recent demand a holder may spend while
+	// it can't renew its mark.
+	slopeFactor = 1.5
+	// FullAfter is the time since the last beat after which a holder may promise
+	// all that it holds. A crash of a host and its restart take less (up to four
+	// and a half seconds in the users' deployments).
+	FullAfter = 5 * time.Second
 	// stockWindow is the time over which demand is averaged.
 	stockWindow = 5 * time.Second
 	// returnFactor is how far above its target a holding may stand before the
@@ -70,6 +97,11 @@
 	Horizon time.Duration
 }
 
+// StockMark returns the mark of a holding after a commit.
+func StockMark(v StockView, held int64) int64 {
+	return min(held, v.Busy+max(int64(v.Rate*markTime.Seconds()), v.Need))
+}
+
 // StockTarget returns what a holder should hold.
 //
 // It answers the load of a cut: a holder must live on its stock for the length
@@ -110,14 +142,17 @@
 type stockAccount struct {
 	limit int64
 	// held is what the last row known to be committed gives this holder.
-	held int64
+	held RowHolder
 	// spent is settled and not yet committed; busy is promised to running requests.
 	spent int64
 	busy  int64
 	// need is the largest reservation that failed since the last commit.
 	need int64
-	// rate is demand in tokens a second.
-	rate meter
+	// asked is the most that requests asked for in tokens a second; cost and
+	// bound sum up what settled requests cost and could have cost.
+	asked meter
+	cost  meter
+	bound meter
 	// version and row are the platform's row as last seen, at seenAt.
 	version uint64
 	row     Row
@@ -126,37 +161,45 @@
 	// is sent again unchanged until it is: its condition lets it take effect once.
 	commit uint64
 	open   *stockPlan
-	// touched is when the last request came.
-	touched time.Time
 	// changed is set by every settlement or failed reservation.
 	changed bool
 }
 
 // stockPlan is a change of one row that was sent.
 type stockPlan struct {
-	commit  uint64
-	settle  int64
-	newHeld int64
-	row     Row
+	commit uint64
+	settle int64
+	held   RowHolder
+	row    Row
 	// unanswered is set once the plan was sent and no answer came.
 	unanswered bool
 }
 
-// free returns what a new reservation may take; tokens on their way back are
-// not free, and neither are tokens drawn by a commit of unknown outcome.
-func (a *stockAccount) free() int64 {
-	held := a.held
+// free returns what a new reservation may take: it must be authorised by the
+// row as committed and, if a commit's outcome isn't known, by that one too.
+func (a *stockAccount) free(sinceBeat time.Duration) int64 {
+	free := a.held.Authorised(sinceBeat) - a.spent - a.busy
 	if a.open != nil {
-		held = min(held, a.open.newHeld+a.open.settle)
+		free = min(free, a.open.held.Authorised(sinceBeat)-(a.spent-a.open.settle)-a.busy)
+	}
+	return free
+}
+
+// rate returns demand in tokens a second as it will be settled.
+func (a *stockAccount) rate(now time.Time) float64 {
+	asked := a.asked.value(now)
+	bound := a.bound.value(now)
+	if bound <= 0 {
+		return asked
 	}
-	return held - a.spent - a.busy
+	return asked * min(a.cost.value(now)/bound, 1)
 }
 
 // view returns what decides the change of the holding.
 func (a *stockAccount) view(self string, horizon time.Duration, now time.Time) StockView {
 	v := StockView{
-		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held - a.spent, Busy: a.busy, Need: a.need,
-		Rate: a.rate.value(now), Horizon: horizon,
+		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held.Held - a.spent, Busy: a.busy, Need: a.need,
+		Rate: a.rate(now), Horizon: horizon,
 	}
 	for name, h := range a.row.Holders {
 		if name == self {
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -44,6 +44,8 @@
 	Incarnation string
 	// Prefix is the prefix of the rows' keys.
 	Prefix string
+	// Beats tells how long ago this and earlier incarnations were in touch.
+	Beats *Beater
 	// Horizon is the time for which stocks should last.
 	Horizon time.Duration
 	// Interval is how often settlements are committed.
@@ -53,7 +55,7 @@
 	// Unreadable is called for a row that can't be decoded.
 	Unreadable func(organisation string, err error)
 	// Recovered is called when an earlier incarnation's holding was taken over.
-	Recovered func(organisation string, tokens int64)
+	Recovered func(organisation string, spent, returned int64)
 
 	mu       sync.Mutex // guards all below
 	accounts map[string]*stockAccount
@@ -66,17 +68,16 @@
 //
 // limit is the budget by the newest configuration. It returns ErrElsewhere if
 // more tokens must be drawn first.
-func (s *Stocker) Reserve(organisation string, limit, amount int64, now time.Time) error {
+func (s *Stocker) Reserve(organisation string, limit, amount int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(organisation)
 	a.limit = limit
-	a.touched = now
 	return s.reserve(a, amount)
 }
 
 func (s *Stocker) reserve(a *stockAccount, amount int64) error {
-	if a.free() >= amount {
+	if a.free(s.Beats.Age()) >= amount {
 		a.busy += amount
 		return nil
 	}
@@ -93,16 +94,29 @@
 func (s *Stocker) Demand(organisation string, amount int64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.account(organisation).rate.add(amount, now)
+	s.account(organisation).asked.add(amount, now)
 }
 
 // Settle ends a reservation with its cost.
-func (s *Stocker) Settle(organisation string, amount, cost int64) {
+func (s *Stocker) Settle(organisation string, amount, cost int64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.account(organisation)
 	a.busy -= amount
-	a.spent += min(max(cost, 0), amount)
+	cost = min(max(cost, 0), amount)
+	a.spent += cost
+	a.cost.add(cost, now)
+	a.bound.add(amount, now)
+	a.changed = true
+}
+
+// Watch opens the account of an organisation, so that it has a stock before its
+// first request.
+func (s *Stocker) Watch(organisation string, limit int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(organisation)
+	a.limit = limit
 	a.changed = true
 }
 
@@ -136,7 +150,7 @@
 	defer s.mu.Unlock()
 	a := s.account(organisation)
 	return Balance{
-		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held, Free: a.free(),
+		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held.Held, Free: a.free(s.Beats.Age()),
 		Elsewhere: a.row.heldByOthers(s.Incarnation), Age: now.Sub(a.seenAt),
 	}
 }
@@ -145,6 +159,9 @@
 func (s *Stocker) Run(ctx context.Context) {
 	timer := time.NewTicker(s.Interval)
 	defer timer.Stop()
+	if !s.Beats.WaitKnown(ctx) {
+		return
+	}
 	for {
 		urgent := false
 		select {
@@ -216,14 +233,14 @@
 	if len(names) == 0 {
 		return nil, nil
 	}
-	version, err := s.Table.CommitAt(ctx, c)
+	receipt, err := s.Table.CommitAt(ctx, c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var conflict *storer.ConflictError
 	switch {
 	case err == nil:
 		for _, name := range names {
-			s.accounts[name].applied(version, now)
+			s.accounts[name].applied(receipt.Version, now)
 		}
 	case errors.As(err, &conflict):
 		s.takeOver(names, conflict.Rows, now)
@@ -274,35 +291,35 @@
 	if !a.changed && !closing {
 		return nil
 	}
-	change := int64(0)
+	v := a.view(s.Incarnation, s.Horizon, now)
+	change := StockChange(v)
 	if closing {
-		change = -(a.held - a.spent - a.busy)
-	} else {
-		change = StockChange(a.view(s.Incarnation, s.Horizon, now))
+		change = a.busy - v.Held
 	}
 	if urgent && a.need == 0 {
 		return nil
 	}
-	if change == 0 && a.spent == 0 && a.version != 0 {
+	if change == 0 && a.spent == 0 && a.need == 0 && a.version != 0 {
 		a.changed = false
-		a.need = 0
 		return nil
 	}
-	if closing && a.held == 0 && a.spent == 0 {
+	if closing && a.held.Held == 0 && a.spent == 0 {
 		return nil
 	}
 	a.commit++
-	p := &stockPlan{commit: a.commit, settle: a.spent, newHeld: a.held - a.spent + change}
+	held := v.Held + change
+	p := &stockPlan{commit: a.commit, settle: a.spent, held: RowHolder{
+		Router: s.Router, Held: held, Mark: StockMark(v, held), Slope: slopeFactor * v.Rate, Busy: a.busy,
+		Rate: v.Rate, Commit: a.commit,
+	}}
 	p.row = Row{Spent: a.row.Spent + a.spent, Holders: make(map[string]RowHolder, len(a.row.Holders)+1)}
 	for name, h := range a.row.Holders {
 		if name != s.Incarnation {
 			p.row.Holders[name] = h
 		}
 	}
-	if p.newHeld > 0 || !closing {
-		p.row.Holders[s.Incarnation] = RowHolder{
-			Router: s.Router, Held: p.newHeld, Busy: a.busy, Rate: a.rate.value(now), Commit: a.commit,
-		}
+	if held > 0 || !closing {
+		p.row.Holders[s.Incarnation] = p.held
 	}
 	return p
 }
@@ -311,7 +328,7 @@
 func (a *stockAccount) applied(version uint64, now time.Time) {
 	p := a.open
 	a.open = nil
-	a.held = p.newHeld
+	a.held = p.held
 	a.spent -= p.settle
 	a.row, a.version, a.seenAt = p.row, version, now
 	a.need = 0
@@ -337,7 +354,7 @@
 			a.spent -= a.open.settle
 		}
 		a.open = nil
-		a.held = mine.Held
+		a.held = mine
 		a.version, a.row, a.seenAt = byName[name].Version, row, now
 		a.changed = true
 		s.recover(name, a)
@@ -351,18 +368,19 @@
 	}
 }
 
-// recover counts the holdings of this router's earlier incarnations as spent:
-// what they spent of them isn't known.
+// recover counts as spent what earlier incarnations of this router may have
+// promised, and gives the rest of their holdings back.
 func (s *Stocker) recover(organisation string, a *stockAccount) {
 	for name, h := range a.row.Holders {
 		if h.Router != s.Router || name == s.Incarnation {
 			continue
 		}
-		a.row.Spent += h.Held
+		spent := h.Authorised(s.Beats.Silence(name))
+		a.row.Spent += spent
 		delete(a.row.Holders, name)
 		a.changed = true
 		if s.Recovered != nil {
-			s.Recovered(organisation, h.Held)
+			s.Recovered(organisation, spent, h.Held-spent)
 		}
 	}
 }
@@ -371,7 +389,9 @@
 func (s *Stocker) account(organisation string) *stockAccount {
 	a, ok := s.accounts[organisation]
 	if !ok {
-		a = &stockAccount{rate: meter{window: stockWindow}}
+		a = &stockAccount{
+			asked: meter{window: stockWindow}, cost: meter{window: stockWindow}, bound: meter{window: stockWindow},
+		}
 		if s.accounts == nil {
 			s.accounts = make(map[string]*stockAccount)
 		}
@@ -389,6 +409,8 @@
 type wireStockHolder struct {
 	Router string  `json:"router"`
 	Held   int64   `json:"held"`
+	Mark   int64   `json:"mark"`
+	Slope  float64 `json:"slope"`
 	Busy   int64   `json:"busy"`
 	Rate   float64 `json:"rate"`
 	Commit uint64  `json:"commit"`
--- a/internal/process/storer/memory.go
+++ b/internal/process/storer/memory.go
@@ -5,6 +5,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Memory is a Table held in memory; stand-ins and tests use it.
@@ -13,6 +14,8 @@
 	rows    map[string]Row
 	commits uint64
 	reads   uint64
+	// Now is the table's steady clock; nil means that it stands still.
+	Now func() time.Duration
 }
 
 // NewMemory returns an empty table.
@@ -58,7 +61,7 @@
 }
 
 // CommitAt implements Committer.CommitAt.
-func (m *Memory) CommitAt(_ context.Context, c Commit) (uint64, error) {
+func (m *Memory) CommitAt(_ context.Context, c Commit) (Receipt, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	conflict := false
@@ -71,7 +74,7 @@
 		conflict = conflict || row.Version != cond.Version
 	}
 	if conflict {
-		return 0, &ConflictError{Rows: current}
+		return Receipt{}, &ConflictError{Rows: current, Clock: m.clock()}
 	}
 	m.commits++
 	for _, w := range c.Writes {
@@ -81,7 +84,7 @@
 		}
 		m.rows[w.Key] = Row{Key: w.Key, Version: m.commits, Value: w.Value}
 	}
-	return m.commits, nil
+	return Receipt{Version: m.commits, Clock: m.clock()}, nil
 }
 
 // Commits returns how many commits took effect.
@@ -97,3 +100,10 @@
 	defer m.mu.Unlock()
 	return m.reads
 }
+
+func (m *Memory) clock() time.Duration {
+	if m.Now == nil {
+		return 0
+	}
+	return m.Now()
+}
--- a/internal/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -38,6 +38,8 @@
 // ConflictError is an ErrConflict that carries the rows as they are now.
 type ConflictError struct {
 	Rows []Row
+	// Clock is the table's steady clock when it answered.
+	Clock time.Duration
 }
 
 // Error implements error.
@@ -91,11 +93,19 @@
 	Commit(ctx context.Context, c Commit) error
 }
 
-// Committer is a table whose commits tell the version that they gave their rows.
+// Receipt is what a table says of a commit that took effect.
+type Receipt struct {
+	// Version is the version of the rows written.
+	Version uint64
+	// Clock is the table's steady clock when it answered.
+	Clock time.Duration
+}
+
+// Committer is a table whose commits give a receipt.
 type Committer interface {
-	// CommitAt applies c and returns the version of the rows written, or an
-	// error as Table.Commit does; a conflict is a *ConflictError.
-	CommitAt(ctx context.Context, c Commit) (version uint64, err error)
+	// CommitAt applies c, or returns an error as Table.Commit does; a conflict is
+	// a *ConflictError.
+	CommitAt(ctx context.Context, c Commit) (Receipt, error)
 }
 
 // Feed is one answer of a Watcher.
