--- a/cmd/egretroute/gateway.go
+++ b/cmd/egretroute/gateway.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,6 +17,7 @@
 
 	"github.com/egretroute/egretroute/internal/process/configurer"
 	"github.com/egretroute/egretroute/internal/process/gateway"
+	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/platform"
 )
 
@@ -49,19 +52,25 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	return exitStatus(runProcess(ctx, fx.Supply(s), fx.Provide(newRegistry, newGateway)))
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	reload := &configurer.Watcher[*configurer.Gateway]{Path: c.settings, Load: configurer.LoadGateway, Signals: hangUps}
+	return exitStatus(runProcess(ctx, fx.Supply(s, reload), fx.Provide(newRegistry, newGateway)))
 }
 
-func newGateway(s *configurer.Gateway, registry *prometheus.Registry, log *slog.Logger) (runner, error) {
+func newGateway(s *configurer.Gateway, reload *configurer.Watcher[*configurer.Gateway], registry *prometheus.Registry,
+	log *slog.Logger) (runner, error) {
 	g := &gateway.Gateway{
 		Name: s.Name, Incarnation: newIncarnation(s.Name), Domain: s.Domain,
 		Store: platform.NewStore(s.Store, s.StoreTimeout), Dialect: platform.Dialect{}, Words: platformWords(),
-		Limits: gateway.Limits{
-			LeaveTime: s.LeaveTime, StopTime: s.ShutdownLimit, RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow,
-			RetrySlack: s.RetrySlack, StockHorizon: s.StockHorizon,
-		},
-		Log: log, Registry: registry,
+		Limits: limitsOf(s), Log: log, Registry: registry,
 	}
+	reload.Changed = func(s *configurer.Gateway) {
+		g.SetLimits(limitsOf(s))
+		logger.SettingsReloaded.Log(log, "file", reload.Path)
+	}
+	reload.Refused = func(err error) { logger.SettingsRefused.Log(log, "file", reload.Path, "error", err) }
+	g.Background = append(g.Background, reload.Run)
 	var err error
 	if g.CallerListener, err = listen(s.CallerAddress); err != nil {
 		return nil, err
@@ -75,6 +84,13 @@
 	return g, err
 }
 
+func limitsOf(s *configurer.Gateway) gateway.Limits {
+	return gateway.Limits{
+		LeaveTime: s.LeaveTime, StopTime: s.ShutdownLimit, RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow,
+		RetrySlack: s.RetrySlack, StockHorizon: s.StockHorizon,
+	}
+}
+
 func platformWords() gateway.Words {
 	return gateway.Words{
 		ConfigurationTable: platform.ConfigurationTable, ConfigurationKey: platform.ConfigurationKey,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -83,9 +83,12 @@
 	Dialect         Dialect
 	Words           Words
 	Limits          Limits
-	Log             *slog.Logger
-	Registry        *prometheus.Registry
+	// Background runs beside the gateway until it has stopped.
+	Background []func(ctx context.Context)
+	Log        *slog.Logger
+	Registry   *prometheus.Registry
 
+	limits   atomic.Pointer[Limits]
 	matcher  atomic.Pointer[matcher.Matcher]
 	targets  *registrar.Registrar
 	fleet    *fleet
@@ -120,7 +123,8 @@
 	g.targets = registrar.New()
 	g.fleet = newFleet()
 	g.pool = &exchanger.Pool{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections}
-	g.retries = &retryBudget{Limits: g.Limits}
+	g.SetLimits(g.Limits)
+	g.retries = &retryBudget{Limits: g.limits.Load}
 	g.metrics = newMetrics(g.Registry)
 	g.beats = &spender.Beater{
 		Table: g.Store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name),
@@ -142,6 +146,9 @@
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelDebug),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
+	for _, run := range g.Background {
+		g.watching.Go(func() { run(work) })
+	}
 	failed := make(chan error, 2)
 	go func() { failed <- g.callers.Serve(g.CallerListener) }()
 	go func() { failed <- ready.Serve(g.ReadyListener) }()
@@ -159,15 +166,21 @@
 	return nil
 }
 
+// SetLimits changes the bounds within which a running gateway works; the stock
+// horizon stays.
+func (g *Gateway) SetLimits(l Limits) {
+	g.limits.Store(&l)
+}
+
 // stop lets the balancer take notice, finishes running requests and returns all tokens.
 func (g *Gateway) stop(stopWork func()) {
-	begun := time.Now()
+	begun, limits := time.Now(), g.limits.Load()
 	g.leaving.Store(true)
 	logger.GatewayLeaving.Log(g.Log, "router", g.Name, "running", g.fleet.running())
-	time.Sleep(g.Limits.LeaveTime)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.Limits.StopTime))
+	time.Sleep(limits.LeaveTime)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(limits.StopTime))
 	defer cancel()
-	finish, cancelFinish := context.WithDeadline(ctx, begun.Add(g.Limits.StopTime-returnTime))
+	finish, cancelFinish := context.WithDeadline(ctx, begun.Add(limits.StopTime-returnTime))
 	defer cancelFinish()
 	err := g.callers.Shutdown(finish)
 	stopWork()
--- a/internal/process/gateway/retries.go
+++ b/internal/process/gateway/retries.go
@@ -12,7 +12,7 @@
 // It answers retry storms: when every send fails, sends beyond the first would
 // multiply the load that makes them fail.
 type retryBudget struct {
-	Limits Limits
+	Limits func() *Limits
 
 	mu       sync.Mutex // guards services
 	services map[string]*retryWindow
@@ -55,7 +55,7 @@
 			retries += s.retries
 		}
 	}
-	budget := retryMargin * (b.Limits.RetryRatio*float64(requests) + b.Limits.RetrySlack/max(routers, 1))
+	budget := retryMargin * (b.Limits().RetryRatio*float64(requests) + b.Limits().RetrySlack/max(routers, 1))
 	if float64(retries+1) > budget {
 		return false
 	}
@@ -72,7 +72,7 @@
 		w = &retryWindow{}
 		b.services[service] = w
 	}
-	number := now.UnixNano() / int64(b.Limits.RetryWindow/retrySlices)
+	number := now.UnixNano() / int64(b.Limits().RetryWindow/retrySlices)
 	s := &w.slices[number%int64(len(w.slices))]
 	if s.number != number {
 		*s = retrySlice{number: number}
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -47,6 +47,8 @@
 	GatewayLeaving       = Event{302, slog.LevelInfo, "gateway is leaving and will take no new connections", "none"}
 	GatewayStopped       = Event{303, slog.LevelInfo, "gateway has stopped and returned its tokens", "none; if requests were cut, look at the stop time of the settings"}
 	MetricsStopped       = Event{304, slog.LevelError, "metrics are served no more", "look at the metrics address of the settings"}
+	SettingsReloaded     = Event{305, slog.LevelInfo, "settings file read again", "none"}
+	SettingsRefused      = Event{306, slog.LevelError, "settings file has faults; the last good settings stay", "mend the keys that the line names"}
 	FeedFailed           = Event{310, slog.LevelWarn, "feed of a table is not answered", "look at the platform's store; what was last known holds on"}
 	FeedAnswers          = Event{311, slog.LevelInfo, "feed of a table is answered again", "none"}
 	FeedLost             = Event{312, slog.LevelWarn, "history of a table is lost; it is read anew", "none"}
@@ -76,7 +78,7 @@
 	RouterStarted, RouterReady, RouterLeaving, RouterStopped, RouterCutOff, FlushFailed, FlushRecovered,
 	IncarnationLost, AgentLinked, AgentLost, PeerLinked, PeerLost, HolderSuspected, HolderClosed, HolderStuck,
 	AnswerBroken, RequestUnknown, OperatorRefused, PatchApplied, SlotClosed, SlotStuck,
-	GatewayStarted, GatewayLeaving, GatewayStopped, MetricsStopped, FeedFailed, FeedAnswers, FeedLost,
+	GatewayStarted, GatewayLeaving, GatewayStopped, MetricsStopped, SettingsReloaded, SettingsRefused, FeedFailed, FeedAnswers, FeedLost,
 	ConfigurationInForce, ConfigurationRefused, TargetsListed, TargetIn, TargetOut, TargetUnreadable,
 	SendFailed, TargetRefused, TargetFailed, RequestEnded, RequestNotAnswered, BudgetRefused,
 	StockCommitFailed, StockUnreadable, StockRecovered, BeatsFailed, BeatsBack,
