Companions relay the store to routers that are cut off; routers exchange loads

Ruled out: the store being down (companions reached it; row ages stay at 18 ms by way of them). Also: an account without requests never gave its tokens back.

--- a/cmd/egretroute/main.go
+++ b/cmd/egretroute/main.go
@@ -26,6 +26,7 @@
 	commander.Register(&routerCommand{}, "processes")
 	commander.Register(&agentCommand{}, "processes")
 	commander.Register(&gatewayCommand{}, "processes")
+	commander.Register(&companionCommand{}, "processes")
 	commander.Register(&standinCommand{}, "processes")
 	commander.Register(&ctlCommand{}, "operators")
 	commander.Register(&checkCommand{}, "operators")
--- a/internal/connection/framer/codec.go
+++ b/internal/connection/framer/codec.go
@@ -31,6 +31,9 @@
 	case *Cancel:
 		return &wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{Attempt: m.Attempt}}}, nil
 	default:
+		if f := encodeStore(m); f != nil {
+			return f, nil
+		}
 		return encodeControl(m)
 	}
 }
@@ -103,6 +106,9 @@
 
 // decode maps a wire frame to its message.
 func decode(f *wire.Frame) (any, error) {
+	if m := decodeStore(f); m != nil {
+		return m, nil
+	}
 	switch b := f.GetBody().(type) {
 	case *wire.Frame_Hello:
 		m := b.Hello
--- /dev/null
+++ b/internal/connection/relayer/relayer.go
@@ -0,0 +1,323 @@
+// Package relayer lets a process that is cut off from the platform's store use
+// it through another process that still reaches it.
+//
+// A Server answers relayed calls from a store. A Store calls a store directly
+// while that answers, and by way of linked processes while it does not. Since
+// every commit is conditional and may be sent again unchanged, a call whose
+// answer was lost on one way may be repeated on another.
+//
+// # Usage
+//
+//	handler := &relayer.Server{Store: store}
+//	s := &relayer.Store{Direct: store, Links: links}
+//	receipt, err := s.CommitAt(ctx, commit)
+package relayer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/connection/linker"
+	"github.com/egretroute/egretroute/internal/process/storer"
+)
+
+const (
+	// probeInterval is how often the direct way is tried again while it fails.
+	probeInterval = time.Second
+	// relaySlack is how much longer than the store's own time a relayed call may take.
+	relaySlack = 200 * time.Millisecond
+	// relayTimeout bounds a relayed commit: the store may be tens of times slower
+	// than usual.
+	relayTimeout = time.Second
+	// maxRelays is how many processes a call is relayed to at most.
+	maxRelays = 2
+	// maxWait bounds the wait that a linked process may ask for.
+	maxWait = 30 * time.Second
+)
+
+// Backend is a store that can be relayed to.
+type Backend interface {
+	storer.Committer
+	storer.Watcher
+}
+
+// Server answers relayed calls.
+type Server struct {
+	Store Backend
+}
+
+// Serve answers a message and reports whether it was a relayed call.
+func (s *Server) Serve(stream *linker.Stream, message any) bool {
+	switch m := message.(type) {
+	case *framer.RelayCommit:
+		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+		defer cancel()
+		receipt, err := s.Store.CommitAt(ctx, decodeCommit(m))
+		reply := encodeError(err)
+		reply.Version = receipt.Version
+		reply.Clock = max(reply.Clock, receipt.Clock)
+		_ = stream.Write(reply) // the caller sees the stream end
+		return true
+	case *framer.RelayWatch:
+		wait := min(m.Wait, maxWait)
+		ctx, cancel := context.WithTimeout(context.Background(), wait+relayTimeout)
+		defer cancel()
+		feed, err := s.watch(ctx, m, wait)
+		reply := encodeError(err)
+		reply.Version = feed.Next
+		for _, r := range feed.Rows {
+			reply.Rows = append(reply.Rows, encodeRow(r))
+		}
+		_ = stream.Write(reply) // the caller sees the stream end
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Server) watch(ctx context.Context, m *framer.RelayWatch, wait time.Duration) (storer.Feed, error) {
+	if m.List {
+		return s.Store.List(ctx, m.Table)
+	}
+	return s.Store.Watch(ctx, m.Table, m.After, wait)
+}
+
+// Store implements Backend with ways around a cut.
+//
+// Exported fields are set before the first call.
+type Store struct {
+	Direct Backend
+	// Links returns links to processes that may reach the store, best first.
+	Links func() []*linker.Link
+	// Lost and Back are called when the direct way begins to fail and works again.
+	Lost func(err error)
+	Back func()
+
+	mu      sync.Mutex // guards all below
+	failing bool
+	probeAt time.Time
+	// first counts the links that failed, and so tells which to try first.
+	first int
+}
+
+// CommitAt implements storer.Committer.
+func (s *Store) CommitAt(ctx context.Context, c storer.Commit) (storer.Receipt, error) {
+	call := encodeCommit(c)
+	return relay(ctx, s, relayTimeout,
+		func(ctx context.Context) (storer.Receipt, error) { return s.Direct.CommitAt(ctx, c) },
+		call, func(r *framer.Relayed) (storer.Receipt, error) {
+			return storer.Receipt{Version: r.Version, Clock: r.Clock}, decodeError(r)
+		})
+}
+
+// List implements storer.Watcher.
+func (s *Store) List(ctx context.Context, table string) (storer.Feed, error) {
+	return relay(ctx, s, relayTimeout,
+		func(ctx context.Context) (storer.Feed, error) { return s.Direct.List(ctx, table) },
+		&framer.RelayWatch{Table: table, List: true}, decodeFeed)
+}
+
+// Watch implements storer.Watcher.
+func (s *Store) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (storer.Feed, error) {
+	return relay(ctx, s, wait+relayTimeout,
+		func(ctx context.Context) (storer.Feed, error) { return s.Direct.Watch(ctx, table, after, wait) },
+		&framer.RelayWatch{Table: table, After: after, Wait: wait}, decodeFeed)
+}
+
+// relay makes one call, directly if that way works or is due for a try, and
+// through linked processes if the direct way did not lead to the store.
+func relay[T any](ctx context.Context, s *Store, timeout time.Duration, direct func(context.Context) (T, error),
+	call any, decode func(*framer.Relayed) (T, error)) (T, error) {
+	var zero T
+	last := errors.Wrap(storer.ErrRefused, "the direct way fails")
+	uncertain := false
+	note := func(err error) {
+		uncertain = uncertain || errors.Is(err, storer.ErrUnavailable)
+		last = err
+	}
+	if s.tryDirect() {
+		v, err := direct(ctx)
+		s.noteDirect(ctx, err)
+		if !lostWay(err) {
+			return v, err
+		}
+		note(err)
+	}
+	for _, link := range s.ways() {
+		if ctx.Err() != nil {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, timeout+relaySlack)
+		reply, err := linker.Call[*framer.Relayed](callCtx, link, call)
+		cancel()
+		if err != nil {
+			note(errors.Wrap(storer.ErrUnavailable, err.Error()))
+			s.turn()
+			continue
+		}
+		v, err := decode(reply)
+		if !lostWay(err) {
+			return v, err
+		}
+		note(err)
+		s.turn()
+	}
+	if uncertain && !errors.Is(last, storer.ErrUnavailable) {
+		last = errors.Wrap(storer.ErrUnavailable, last.Error())
+	}
+	return zero, last
+}
+
+// ways returns the links to try, beginning with the one that worked last.
+func (s *Store) ways() []*linker.Link {
+	links := s.Links()
+	if len(links) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	first := s.first % len(links)
+	s.mu.Unlock()
+	turned := append(append([]*linker.Link{}, links[first:]...), links[:first]...)
+	return turned[:min(len(turned), maxRelays)]
+}
+
+// turn makes the next link the first to try.
+func (s *Store) turn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first++
+}
+
+// lostWay reports whether another way to the store may still work. A refusal
+// may be of this process alone.
+func lostWay(err error) bool {
+	return errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrRefused)
+}
+
+// tryDirect reports whether the direct way should be used for the next call.
+func (s *Store) tryDirect() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.failing {
+		return true
+	}
+	if now := time.Now(); now.After(s.probeAt) {
+		s.probeAt = now.Add(probeInterval)
+		return true
+	}
+	return false
+}
+
+func (s *Store) noteDirect(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	lost := lostWay(err)
+	s.mu.Lock()
+	was := s.failing
+	s.failing = lost
+	if lost {
+		s.probeAt = time.Now().Add(probeInterval)
+	}
+	s.mu.Unlock()
+	switch {
+	case lost && !was && s.Lost != nil:
+		s.Lost(err)
+	case !lost && was && s.Back != nil:
+		s.Back()
+	}
+}
+
+func encodeCommit(c storer.Commit) *framer.RelayCommit {
+	m := &framer.RelayCommit{}
+	for _, cond := range c.Conditions {
+		m.Conditions = append(m.Conditions, framer.RowCondition(cond))
+	}
+	for _, w := range c.Writes {
+		m.Writes = append(m.Writes, framer.RowWrite{Key: w.Key, Value: w.Value, Delete: w.Value == nil})
+	}
+	return m
+}
+
+func decodeCommit(m *framer.RelayCommit) storer.Commit {
+	var c storer.Commit
+	for _, cond := range m.Conditions {
+		c.Conditions = append(c.Conditions, storer.Condition(cond))
+	}
+	for _, w := range m.Writes {
+		value := w.Value
+		if !w.Delete && value == nil {
+			value = []byte{}
+		}
+		c.Writes = append(c.Writes, storer.Write{Key: w.Key, Value: value})
+	}
+	return c
+}
+
+func encodeRow(r storer.Row) framer.RowValue {
+	return framer.RowValue{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Value == nil}
+}
+
+func decodeRow(r framer.RowValue) storer.Row {
+	value := r.Value
+	if r.Deleted {
+		value = nil
+	}
+	return storer.Row{Key: r.Key, Version: r.Version, Value: value}
+}
+
+func decodeFeed(r *framer.Relayed) (storer.Feed, error) {
+	feed := storer.Feed{Next: r.Version}
+	for _, row := range r.Rows {
+		feed.Rows = append(feed.Rows, decodeRow(row))
+	}
+	return feed, decodeError(r)
+}
+
+// encodeError maps an error of the store to the outcome on the wire.
+func encodeError(err error) *framer.Relayed {
+	r := &framer.Relayed{}
+	if err == nil {
+		return r
+	}
+	r.Error = err.Error()
+	var conflict *storer.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		r.Outcome, r.Clock = framer.RelayConflict, conflict.Clock
+		for _, row := range conflict.Rows {
+			r.Rows = append(r.Rows, encodeRow(row))
+		}
+	case errors.Is(err, storer.ErrHistoryLost):
+		r.Outcome = framer.RelayHistoryLost
+	case errors.Is(err, storer.ErrRefused):
+		r.Outcome = framer.RelayRefused
+	default:
+		r.Outcome = framer.RelayUnanswered
+	}
+	return r
+}
+
+// decodeError is the reverse of encodeError.
+func decodeError(r *framer.Relayed) error {
+	switch r.Outcome {
+	case framer.RelayOK:
+		return nil
+	case framer.RelayConflict:
+		conflict := &storer.ConflictError{Clock: r.Clock}
+		for _, row := range r.Rows {
+			conflict.Rows = append(conflict.Rows, decodeRow(row))
+		}
+		return conflict
+	case framer.RelayHistoryLost:
+		return storer.ErrHistoryLost
+	case framer.RelayRefused:
+		return errors.Wrap(storer.ErrRefused, r.Error)
+	default:
+		return errors.Wrap(storer.ErrUnavailable, r.Error)
+	}
+}
--- /dev/null
+++ b/internal/process/companion/companion.go
@@ -0,0 +1,85 @@
+// Package companion is the process beside a target. It relays calls to the
+// platform's store for routers that are cut off from it.
+//
+// # Usage
+//
+//	c := &companion.Companion{Name: "host-7", Listener: ln, Store: store, Secret: secret, ...}
+//	err := c.Run(ctx)
+package companion
+
+import (
+	"context"
+	"log/slog"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/connection/linker"
+	"github.com/egretroute/egretroute/internal/connection/relayer"
+	"github.com/egretroute/egretroute/internal/process/enroller"
+	"github.com/egretroute/egretroute/internal/process/logger"
+)
+
+// Companion relays calls to the store. Exported fields are set before Run.
+type Companion struct {
+	Name        string
+	Incarnation string
+	Domain      string
+	Listener    net.Listener
+	Store       relayer.Backend
+	// Key is the key of the companion's row.
+	Key    string
+	Secret []byte
+	Log    *slog.Logger
+	// Background runs beside the companion until it stops.
+	Background []func(ctx context.Context)
+}
+
+// Run serves until ctx ends.
+func (c *Companion) Run(ctx context.Context) error {
+	relays := &relayer.Server{Store: c.Store}
+	srv := &linker.Server{
+		Secret: c.Secret, Self: linker.Identity{Name: c.Name, Incarnation: c.Incarnation}, Log: c.Log,
+		Handler: handler{relays: relays, incarnation: c.Incarnation},
+		Refused: func(err error) { logger.PeerRefused.Log(c.Log, "error", err) },
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(c.Listener) }()
+	for _, run := range c.Background {
+		go run(ctx)
+	}
+	logger.CompanionStarted.Log(c.Log, "host", c.Name, "incarnation", c.Incarnation, "domain", c.Domain)
+	enrolment := &enroller.Enroller{Store: c.Store, Key: c.Key, Self: enroller.Member{
+		Name: c.Name, Incarnation: c.Incarnation, Kind: enroller.Companion, Address: c.Listener.Addr().String(),
+		Domain: c.Domain,
+	}}
+	if err := enrolment.Run(ctx); err == nil {
+		logger.MemberEnrolled.Log(c.Log, "host", c.Name, "address", c.Listener.Addr().String())
+	}
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve links")
+	case <-ctx.Done():
+	}
+	_ = c.Listener.Close()
+	srv.Close()
+	logger.CompanionStopped.Log(c.Log, "host", c.Name)
+	return nil
+}
+
+// handler answers the streams of routers.
+type handler struct {
+	relays      *relayer.Server
+	incarnation string
+}
+
+// ServeStream implements linker.Handler.
+func (h handler) ServeStream(s *linker.Stream, first any) {
+	if h.relays.Serve(s, first) {
+		return
+	}
+	if _, ok := first.(*framer.Ping); ok {
+		_ = s.Write(&framer.Pong{Incarnation: h.incarnation}) // the caller sees the stream end
+	}
+}
--- a/internal/process/configurer/gateway.go
+++ b/internal/process/configurer/gateway.go
@@ -83,3 +83,38 @@
 	}
 	return s, c.err()
 }
+
+// Companion is the settings of a companion.
+type Companion struct {
+	Name         string
+	Domain       string
+	FleetAddress string
+	Store        string
+	Secret       string
+	StoreTimeout time.Duration
+}
+
+type companionFile struct {
+	Name         string `toml:"name"`
+	Domain       string `toml:"domain"`
+	FleetAddress string `toml:"fleetAddress"`
+	Store        string `toml:"store"`
+	Secret       string `toml:"secret"`
+	StoreTimeout string `toml:"storeTimeout"`
+}
+
+// LoadCompanion reads and checks the settings of a companion.
+func LoadCompanion(path string) (*Companion, error) {
+	var f companionFile
+	c, err := load(path, &f)
+	if err != nil {
+		return nil, err
+	}
+	s := &Companion{
+		Name: c.name("name", f.Name), Domain: c.name("domain", f.Domain),
+		FleetAddress: c.address("fleetAddress", f.FleetAddress), Store: c.address("store", f.Store),
+		Secret:       c.secret("secret", f.Secret),
+		StoreTimeout: c.duration("storeTimeout", f.StoreTimeout, time.Second, 10*time.Millisecond, time.Minute),
+	}
+	return s, c.err()
+}
--- /dev/null
+++ b/internal/process/enroller/enroller.go
@@ -0,0 +1,121 @@
+// Package enroller makes a process known to the others by a row in the
+// platform's store.
+//
+// # Usage
+//
+//	e := &enroller.Enroller{Store: store, Key: key, Self: enroller.Member{Name: "router-1", Kind: enroller.Router, ...}}
+//	err := e.Run(ctx)
+//	member, err := enroller.Decode(row)
+package enroller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/process/storer"
+)
+
+// retryInterval is the pause between tries while the store does not answer.
+const retryInterval = 500 * time.Millisecond
+
+// Kind is the role of a process.
+type Kind int
+
+// The kinds of process.
+const (
+	// Router serves callers.
+	Router Kind = iota
+	// Companion stands beside a target and relays calls to the store.
+	Companion
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if k == Companion {
+		return "companion"
+	}
+	return "router"
+}
+
+// Member is a process of the fleet.
+type Member struct {
+	Name        string
+	Incarnation string
+	Kind        Kind
+	// Address is where other processes link to it.
+	Address string
+	Domain  string
+}
+
+// Enroller writes a process's row. Exported fields are set before Run.
+type Enroller struct {
+	Store storer.Committer
+	Key   string
+	Self  Member
+}
+
+type wireMember struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Kind        string `json:"kind"`
+	Address     string `json:"address"`
+	Domain      string `json:"domain"`
+}
+
+// Run writes the row and returns once it is written.
+func (e *Enroller) Run(ctx context.Context) error {
+	value, err := json.Marshal(wireMember{
+		Name: e.Self.Name, Incarnation: e.Self.Incarnation, Kind: e.Self.Kind.String(), Address: e.Self.Address,
+		Domain: e.Self.Domain,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode member")
+	}
+	version := uint64(0)
+	for ctx.Err() == nil {
+		var c storer.Commit
+		c.Update(e.Key, version, value)
+		_, err := e.Store.CommitAt(ctx, c)
+		var conflict *storer.ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			version = 0
+			for _, row := range conflict.Rows {
+				version = row.Version
+				if string(row.Value) == string(value) {
+					return nil
+				}
+			}
+		default:
+			pause(ctx, retryInterval)
+		}
+	}
+	return ctx.Err()
+}
+
+// Decode decodes a row that an Enroller wrote.
+func Decode(row storer.Row) (Member, error) {
+	var w wireMember
+	if err := json.Unmarshal(row.Value, &w); err != nil {
+		return Member{}, errors.Wrap(err, "decode member")
+	}
+	m := Member{Name: w.Name, Incarnation: w.Incarnation, Address: w.Address, Domain: w.Domain}
+	if w.Kind == Companion.String() {
+		m.Kind = Companion
+	}
+	return m, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/process/gateway/fleet.go
+++ b/internal/process/gateway/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/request/placer"
 )
@@ -22,6 +23,7 @@
 type targetState struct {
 	load       float64
 	short      int
+	long       int
 	failures   int
 	asideUntil time.Time
 }
@@ -30,8 +32,6 @@
 type serviceState struct {
 	split   float64
 	splitAt time.Time
-	short   int
-	long    int
 }
 
 // fleet is what this router has seen of all targets.
@@ -39,11 +39,69 @@
 	mu       sync.Mutex // guards all below
 	states   map[string]*targetState
 	services map[string]*serviceState
+	peers    map[string]peerLoads
 	total    int
 }
 
+// peerLoads is what another router has running, as it said at some time.
+type peerLoads struct {
+	at      time.Time
+	targets map[string]framer.TargetLoad
+}
+
+// peerLifetime is the age at which a peer's report counts no more.
+const peerLifetime = 2 * time.Second
+
 func newFleet() *fleet {
-	return &fleet{states: make(map[string]*targetState), services: make(map[string]*serviceState)}
+	return &fleet{
+		states: make(map[string]*targetState), services: make(map[string]*serviceState), peers: make(map[string]peerLoads),
+	}
+}
+
+// ownLoads returns what this router has running, for its peers.
+func (f *fleet) ownLoads() []framer.TargetLoad {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []framer.TargetLoad
+	for id, s := range f.states {
+		if s.load > 0 {
+			out = append(out, framer.TargetLoad{Target: id, Load: s.load, Short: s.short, Long: s.long})
+		}
+	}
+	return out
+}
+
+// takePeer takes over what another router has running.
+func (f *fleet) takePeer(name string, loads []framer.TargetLoad, now time.Time) {
+	p := peerLoads{at: now, targets: make(map[string]framer.TargetLoad, len(loads))}
+	for _, l := range loads {
+		p.targets[l.Target] = l
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[name] = p
+}
+
+// forgetPeer drops the report of a router whose link is down.
+func (f *fleet) forgetPeer(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.peers, name)
+}
+
+// others sums up what all other routers have running at a target.
+func (f *fleet) others(target string, now time.Time) framer.TargetLoad {
+	var sum framer.TargetLoad
+	for _, p := range f.peers {
+		if now.Sub(p.at) > peerLifetime {
+			continue
+		}
+		l := p.targets[target]
+		sum.Load += l.Load
+		sum.Short += l.Short
+		sum.Long += l.Long
+	}
+	return sum
 }
 
 // plan returns the targets in the order in which a request should be offered to them.
@@ -52,15 +110,18 @@
 	defer f.mu.Unlock()
 	targets := make([]placer.Target, len(entries))
 	slots := 1
+	var demand placer.Demand
 	for i, e := range entries {
-		s := f.state(e.ID)
+		s, others := f.state(e.ID), f.others(e.ID, now)
 		slots = e.Slots
+		demand.ShortRunning += float64(s.short + others.Short)
+		demand.LongRate += float64(s.long + others.Long)
 		targets[i] = placer.Target{
-			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, Load: s.load,
+			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, Load: s.load + others.Load,
 			Aside: now.Before(s.asideUntil),
 		}
 	}
-	pool := placer.Pool{ShortTargets: f.split(service, len(entries), slots, now)}
+	pool := placer.Pool{ShortTargets: f.split(service, demand, len(entries), slots, now)}
 	order := placer.Plan(w, targets, pool)
 	out := make([]registrar.Entry, len(order))
 	for i, k := range order {
@@ -71,10 +132,9 @@
 
 // split returns how many targets of a service should serve short requests; it
 // follows demand slowly.
-func (f *fleet) split(service string, targets, slots int, now time.Time) int {
+func (f *fleet) split(service string, demand placer.Demand, targets, slots int, now time.Time) int {
 	s := f.service(service)
-	d := placer.Demand{ShortRunning: float64(s.short) * f.routers(), LongRate: float64(s.long)}
-	wanted := placer.Split(d, targets, slots)
+	wanted := placer.Split(demand, targets, slots)
 	if s.splitAt.IsZero() {
 		s.split = 0.3 * float64(targets)
 	} else if wanted > 0 {
@@ -85,33 +145,35 @@
 	return int(s.split + 0.5)
 }
 
-// routers returns how many routers share the work.
+// routers returns how many routers are known to share the work.
 func (f *fleet) routers() float64 {
-	return 4
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return float64(len(f.peers) + 1)
 }
 
 // begin counts a request at a target; the returned function ends it.
-func (f *fleet) begin(service, target string, w placer.Work) (end func()) {
+func (f *fleet) begin(target string, w placer.Work) (end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	short := w.Engine && !w.Long()
-	f.count(service, target, w.Weight(), short, w.Engine && w.Long(), 1)
+	f.count(target, w, 1)
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.count(service, target, w.Weight(), short, w.Engine && w.Long(), -1)
+		f.count(target, w, -1)
 	}
 }
 
-func (f *fleet) count(service, target string, weight float64, short, long bool, n int) {
+func (f *fleet) count(target string, w placer.Work, n int) {
 	f.total += n
-	f.state(target).load += float64(n) * weight
-	s := f.service(service)
-	if short {
-		s.short += n
-	}
-	if long {
+	s := f.state(target)
+	s.load += float64(n) * w.Weight()
+	switch {
+	case !w.Engine:
+	case w.Long():
 		s.long += n
+	default:
+		s.short += n
 	}
 }
 
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -15,7 +15,7 @@
 const (
 	// feedWait is how long the store may keep a feed call waiting; a connection
 	// that has gone silent is found out after it.
-	feedWait = 1500 * time.Millisecond
+	feedWait = time.Second
 	// feedBackoff is the pause after a failed call.
 	feedBackoff = 100 * time.Millisecond
 	// stableAfter is how long the store must have answered before a deleted
@@ -45,9 +45,9 @@
 		var feed storer.Feed
 		var err error
 		if listed {
-			feed, err = g.Store.Watch(ctx, f.table, next, feedWait)
+			feed, err = g.store.Watch(ctx, f.table, next, feedWait)
 		} else {
-			feed, err = g.Store.List(ctx, f.table)
+			feed, err = g.store.List(ctx, f.table)
 		}
 		now := time.Now()
 		switch {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -28,6 +28,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
+	"github.com/egretroute/egretroute/internal/connection/linker"
+	"github.com/egretroute/egretroute/internal/connection/relayer"
+	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/spender"
@@ -79,10 +82,13 @@
 	CallerListener  net.Listener
 	ReadyListener   net.Listener
 	MetricsListener net.Listener
-	Store           Store
-	Dialect         Dialect
-	Words           Words
-	Limits          Limits
+	// FleetListener accepts links of other processes that prove the Secret.
+	FleetListener net.Listener
+	Secret        []byte
+	Store         Store
+	Dialect       Dialect
+	Words         Words
+	Limits        Limits
 	// Background runs beside the gateway until it has stopped.
 	Background []func(ctx context.Context)
 	Log        *slog.Logger
@@ -101,6 +107,10 @@
 	feeds    sync.Map // table to feedState
 	callers  *http.Server
 	watching sync.WaitGroup
+	peers    *peers
+	relays   *relayer.Server
+	// store reaches the store directly or through other processes.
+	store Store
 }
 
 const (
@@ -124,14 +134,17 @@
 	g.fleet = newFleet()
 	g.pool = &exchanger.Pool{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections}
 	g.SetLimits(g.Limits)
+	g.peers = g.newPeers()
+	g.store = &relayer.Store{Direct: g.Store, Links: g.peers.links, Lost: g.directLost, Back: g.directBack}
+	g.relays = &relayer.Server{Store: g.Store}
 	g.retries = &retryBudget{Limits: g.limits.Load}
 	g.metrics = newMetrics(g.Registry)
 	g.beats = &spender.Beater{
-		Table: g.Store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name),
+		Table: g.store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name),
 		Failed: g.beatsFailed, Back: g.beatsBack,
 	}
 	g.stock = &spender.Stocker{
-		Table: g.Store, Router: g.Name, Incarnation: g.Incarnation, Prefix: g.Words.RowKey("budgets", ""),
+		Table: g.store, Router: g.Name, Incarnation: g.Incarnation, Prefix: g.Words.RowKey("budgets", ""),
 		Horizon: g.Limits.StockHorizon, Interval: stockInterval, Committed: g.stockCommitted,
 		Unreadable: g.stockUnreadable, Recovered: g.stockRecovered, Beats: g.beats,
 	}
@@ -139,6 +152,8 @@
 	defer stopWork()
 	g.watching.Go(func() { g.followConfiguration(work) })
 	g.watching.Go(func() { g.followTargets(work) })
+	g.watching.Go(func() { g.followMembers(work) })
+	g.watching.Go(func() { g.enroll(work) })
 	g.watching.Go(func() { g.beats.Run(work) })
 	g.watching.Go(func() { g.stock.Run(work) })
 	g.callers = &http.Server{
@@ -149,7 +164,13 @@
 	for _, run := range g.Background {
 		g.watching.Go(func() { run(work) })
 	}
-	failed := make(chan error, 2)
+	links := &linker.Server{
+		Secret: g.Secret, Self: linker.Identity{Name: g.Name, Incarnation: g.Incarnation}, Handler: g, Log: g.Log,
+		Refused: func(err error) { logger.PeerRefused.Log(g.Log, "error", err) },
+	}
+	defer links.Close()
+	failed := make(chan error, 3)
+	go func() { failed <- links.Serve(g.FleetListener) }()
 	go func() { failed <- g.callers.Serve(g.CallerListener) }()
 	go func() { failed <- ready.Serve(g.ReadyListener) }()
 	if g.MetricsListener != nil {
@@ -219,6 +240,25 @@
 	logger.StockRecovered.Log(g.Log, "organisation", organisation, "spent", spent, "returned", returned)
 }
 
+// enroll makes the gateway known to the fleet's other processes.
+func (g *Gateway) enroll(ctx context.Context) {
+	e := &enroller.Enroller{Store: g.store, Key: g.Words.RowKey(membersTable, g.Name), Self: enroller.Member{
+		Name: g.Name, Incarnation: g.Incarnation, Kind: enroller.Router, Address: g.FleetListener.Addr().String(),
+		Domain: g.Domain,
+	}}
+	if err := e.Run(ctx); err == nil {
+		logger.MemberEnrolled.Log(g.Log, "host", g.Name, "address", g.FleetListener.Addr().String())
+	}
+}
+
+func (g *Gateway) directLost(err error) {
+	logger.StoreDirectLost.Log(g.Log, "router", g.Name, "error", err)
+}
+
+func (g *Gateway) directBack() {
+	logger.StoreDirectBack.Log(g.Log, "router", g.Name)
+}
+
 func (g *Gateway) beatsFailed(err error) {
 	logger.BeatsFailed.Log(g.Log, "router", g.Name, "error", err)
 }
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -144,7 +144,7 @@
 
 // send offers the request to one target and passes its answer on.
 func (g *Gateway) send(ctx context.Context, out *output, q *request, work placer.Work, target registrar.Entry) ending {
-	end := g.fleet.begin(q.service.Name, target.ID, work)
+	end := g.fleet.begin(target.ID, work)
 	defer end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -49,6 +49,9 @@
 	MetricsStopped       = Event{304, slog.LevelError, "metrics are served no more", "look at the metrics address of the settings"}
 	SettingsReloaded     = Event{305, slog.LevelInfo, "settings file read again", "none"}
 	SettingsRefused      = Event{306, slog.LevelError, "settings file has faults; the last good settings stay", "mend the keys that the line names"}
+	CompanionStarted     = Event{307, slog.LevelInfo, "companion started", "none"}
+	CompanionStopped     = Event{308, slog.LevelInfo, "companion stopped", "none"}
+	MemberEnrolled       = Event{309, slog.LevelInfo, "process is enrolled in the store", "none"}
 	FeedFailed           = Event{310, slog.LevelWarn, "feed of a table is not answered", "look at the platform's store; what was last known holds on"}
 	FeedAnswers          = Event{311, slog.LevelInfo, "feed of a table is answered again", "none"}
 	FeedLost             = Event{312, slog.LevelWarn, "history of a table is lost; it is read anew", "none"}
@@ -58,6 +61,9 @@
 	TargetIn             = Event{321, slog.LevelInfo, "target entry changed", "none"}
 	TargetOut            = Event{322, slog.LevelInfo, "target entry is gone", "none"}
 	TargetUnreadable     = Event{323, slog.LevelWarn, "target entry can't be read and names no target", "look at what wrote the entry"}
+	StoreDirectLost      = Event{324, slog.LevelWarn, "direct way to the store is lost; calls are relayed", "look at the link to the store"}
+	StoreDirectBack      = Event{325, slog.LevelInfo, "direct way to the store is back", "none"}
+	MemberUnreadable     = Event{326, slog.LevelWarn, "row of a process can't be read", "check that all processes run the same release"}
 	SendFailed           = Event{330, slog.LevelWarn, "a send to a target failed", "look at the target and the link"}
 	TargetRefused        = Event{331, slog.LevelInfo, "a target did not run a request", "none; many of them mean that the service is full"}
 	TargetFailed         = Event{332, slog.LevelInfo, "a target answered with a failure", "look at the target"}
@@ -78,8 +84,8 @@
 	RouterStarted, RouterReady, RouterLeaving, RouterStopped, RouterCutOff, FlushFailed, FlushRecovered,
 	IncarnationLost, AgentLinked, AgentLost, PeerLinked, PeerLost, HolderSuspected, HolderClosed, HolderStuck,
 	AnswerBroken, RequestUnknown, OperatorRefused, PatchApplied, SlotClosed, SlotStuck,
-	GatewayStarted, GatewayLeaving, GatewayStopped, MetricsStopped, SettingsReloaded, SettingsRefused, FeedFailed, FeedAnswers, FeedLost,
-	ConfigurationInForce, ConfigurationRefused, TargetsListed, TargetIn, TargetOut, TargetUnreadable,
+	GatewayStarted, GatewayLeaving, GatewayStopped, MetricsStopped, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedAnswers, FeedLost,
+	ConfigurationInForce, ConfigurationRefused, TargetsListed, TargetIn, TargetOut, TargetUnreadable, StoreDirectLost, StoreDirectBack, MemberUnreadable,
 	SendFailed, TargetRefused, TargetFailed, RequestEnded, RequestNotAnswered, BudgetRefused,
 	StockCommitFailed, StockUnreadable, StockRecovered, BeatsFailed, BeatsBack,
 }
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -163,6 +163,8 @@
 	open   *stockPlan
 	// changed is set by every settlement or failed reservation.
 	changed bool
+	// plannedAt is when the account was last looked at.
+	plannedAt time.Time
 }
 
 // stockPlan is a change of one row that was sent.
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -27,6 +27,9 @@
 	// maxCommitRows is how many rows one commit changes, by the platform's page
 	// (100 entries, of which each row takes two).
 	maxCommitRows = 50
+	// idleInterval is how often an account without requests is looked at, so that
+	// tokens that it needs no more go back.
+	idleInterval = 2 * time.Second
 	// commitTries is how often a commit is tried anew with the rows that it
 	// conflicted with.
 	commitTries = 4
@@ -288,9 +291,10 @@
 	if a.open != nil {
 		return a.open
 	}
-	if !a.changed && !closing {
+	if !a.changed && !closing && now.Sub(a.plannedAt) < idleInterval {
 		return nil
 	}
+	a.plannedAt = now
 	v := a.view(s.Incarnation, s.Horizon, now)
 	change := StockChange(v)
 	if closing {
