Beats carry marks, stops return tokens while the last requests run, slow stores get fewer commits

Stops ran into SIGKILL since idle connections held the server open, and left tokens behind. A store 70 times slower turned calls away (429). Ruled out: wrong settlement (logged cost + burn = the rows' spent).

Change: a beat five times a second carries the marks, so they run 0.45 s ahead instead of 1.5; the stop waits for requests, not connections; commits are paced.

--- a/cmd/egretroute/companion.go
+++ b/cmd/egretroute/companion.go
@@ -61,7 +61,7 @@
 	reload.Refused = func(err error) { logger.SettingsRefused.Log(log, "file", reload.Path, "error", err) }
 	return &companion.Companion{
 		Name: s.Name, Incarnation: newIncarnation(s.Name), Domain: s.Domain, Listener: ln,
-		Store: platform.NewStore(s.Store, s.StoreTimeout), Key: platform.RowKey("processes", s.Name),
+		Store: platform.NewStore(s.Store, s.StoreTimeout), Key: platform.RowKey("processes", "", s.Name),
 		Secret: []byte(s.Secret), Log: log, Background: []func(context.Context){reload.Run},
 	}, nil
 }
--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -33,6 +33,9 @@
 	// relayTimeout bounds a relayed commit: the store may be tens of times slower
 	// than usual.
 	relayTimeout = time.Second
+	// hedgeTime is how long the direct way may take before a call is relayed as
+	// well: a hundred times what the store takes usually.
+	hedgeTime = 400 * time.Millisecond
 	// maxRelays is how many processes a call is relayed to at most.
 	maxRelays = 2
 	// maxWait bounds the wait that a linked process may ask for.
@@ -107,7 +110,7 @@
 // CommitAt implements storer.Committer.
 func (s *Store) CommitAt(ctx context.Context, c storer.Commit) (storer.Receipt, error) {
 	call := encodeCommit(c)
-	return relay(ctx, s, relayTimeout,
+	return relay(ctx, s, relayTimeout, hedgeTime,
 		func(ctx context.Context) (storer.Receipt, error) { return s.Direct.CommitAt(ctx, c) },
 		call, func(r *framer.Relayed) (storer.Receipt, error) {
 			return storer.Receipt{Version: r.Version, Clock: r.Clock}, decodeError(r)
@@ -116,21 +119,21 @@
 
 // List implements storer.Watcher.
 func (s *Store) List(ctx context.Context, table string) (storer.Feed, error) {
-	return relay(ctx, s, relayTimeout,
+	return relay(ctx, s, relayTimeout, hedgeTime,
 		func(ctx context.Context) (storer.Feed, error) { return s.Direct.List(ctx, table) },
 		&framer.RelayWatch{Table: table, List: true}, decodeFeed)
 }
 
 // Watch implements storer.Watcher.
 func (s *Store) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (storer.Feed, error) {
-	return relay(ctx, s, wait+relayTimeout,
+	return relay(ctx, s, wait+relayTimeout, wait+hedgeTime,
 		func(ctx context.Context) (storer.Feed, error) { return s.Direct.Watch(ctx, table, after, wait) },
 		&framer.RelayWatch{Table: table, After: after, Wait: wait}, decodeFeed)
 }
 
 // relay makes one call, directly if that way works or is due for a try, and
 // through linked processes if the direct way did not lead to the store.
-func relay[T any](ctx context.Context, s *Store, timeout time.Duration, direct func(context.Context) (T, error),
+func relay[T any](ctx context.Context, s *Store, timeout, hedge time.Duration, direct func(context.Context) (T, error),
 	call any, decode func(*framer.Relayed) (T, error)) (T, error) {
 	var zero T
 	last := errors.Wrap(storer.ErrRefused, "the direct way fails")
@@ -140,12 +143,31 @@
 		last = err
 	}
 	if s.tryDirect() {
-		v, err := direct(ctx)
-		s.noteDirect(ctx, err)
-		if !lostWay(err) {
-			return v, err
+		type answer struct {
+			v   T
+			err error
+		}
+		answered := make(chan answer, 1)
+		go func() {
+			v, err := direct(ctx)
+			s.noteDirect(ctx, err)
+			answered <- answer{v: v, err: err}
+		}()
+		timer := time.NewTimer(hedge)
+		defer timer.Stop()
+		select {
+		case a := <-answered:
+			if !lostWay(a.err) {
+				return a.v, a.err
+			}
+			note(a.err)
+		case <-timer.C:
+			if len(s.Links()) == 0 {
+				a := <-answered
+				return a.v, a.err
+			}
+			note(errors.Wrap(storer.ErrUnavailable, "the direct way is late"))
 		}
-		note(err)
 	}
 	for _, link := range s.ways() {
 		if ctx.Err() != nil {
--- a/internal/process/configurer/gateway.go
+++ b/internal/process/configurer/gateway.go
@@ -45,7 +45,7 @@
 	// defaultRetryRatio lets one request in five be sent again.
 	defaultRetryRatio = 0.2
 	// defaultLeaveTime is longer than two of a balancer's questions, one a second.
-	defaultLeaveTime = 3 * time.Second
+	defaultLeaveTime = 2500 * time.Millisecond
 	// defaultStockHorizon is longer than a cut of the store that the users expect
 	// routers to live through (nine seconds in their standard days).
 	defaultStockHorizon = 10 * time.Second
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -53,8 +53,9 @@
 	DecodeConfiguration func(value []byte) (*matcher.Document, error)
 	DecodeTarget        func(row storer.Row) (registrar.Entry, error)
 	TargetID            func(row storer.Row) string
-	// RowKey returns the key of one of the fleet's own rows.
-	RowKey func(table, key string) string
+	// RowKey returns the key of one of the fleet's own rows; rows of one part are
+	// written one after another.
+	RowKey func(table, part, key string) string
 }
 
 // Limits are the bounds within which a gateway works.
@@ -94,16 +95,18 @@
 	Log        *slog.Logger
 	Registry   *prometheus.Registry
 
-	limits   atomic.Pointer[Limits]
-	matcher  atomic.Pointer[matcher.Matcher]
-	targets  *registrar.Registrar
-	fleet    *fleet
-	pool     *exchanger.Pool
-	beats    *spender.Beater
-	stock    *spender.Stocker
-	retries  *retryBudget
-	metrics  *metrics
-	leaving  atomic.Bool
+	limits  atomic.Pointer[Limits]
+	matcher atomic.Pointer[matcher.Matcher]
+	targets *registrar.Registrar
+	fleet   *fleet
+	pool    *exchanger.Pool
+	beats   *spender.Beater
+	stock   *spender.Stocker
+	retries *retryBudget
+	metrics *metrics
+	leaving atomic.Bool
+	// active counts requests that have been read and not been answered whole.
+	active   atomic.Int64
 	feeds    sync.Map // table to feedState
 	callers  *http.Server
 	watching sync.WaitGroup
@@ -140,11 +143,12 @@
 	g.retries = &retryBudget{Limits: g.limits.Load}
 	g.metrics = newMetrics(g.Registry)
 	g.beats = &spender.Beater{
-		Table: g.store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name),
+		Marks: func() map[string]spender.BeatMark { return g.stock.Marks() }, Beaten: func() { g.stock.Beaten() },
+		Table: g.store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name, g.Name),
 		Failed: g.beatsFailed, Back: g.beatsBack,
 	}
 	g.stock = &spender.Stocker{
-		Table: g.store, Router: g.Name, Incarnation: g.Incarnation, Prefix: g.Words.RowKey("budgets", ""),
+		Table: g.store, Router: g.Name, Incarnation: g.Incarnation, Prefix: g.Words.RowKey("budgets", "", ""),
 		Horizon: g.Limits.StockHorizon, Interval: stockInterval, Committed: g.stockCommitted,
 		Unreadable: g.stockUnreadable, Recovered: g.stockRecovered, Beats: g.beats,
 	}
@@ -155,7 +159,9 @@
 	g.watching.Go(func() { g.followMembers(work) })
 	g.watching.Go(func() { g.enroll(work) })
 	g.watching.Go(func() { g.beats.Run(work) })
-	g.watching.Go(func() { g.stock.Run(work) })
+	stocking, stopStocking := context.WithCancel(work)
+	defer stopStocking()
+	g.watching.Go(func() { g.stock.Run(stocking) })
 	g.callers = &http.Server{
 		Handler: http.HandlerFunc(g.serveCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelDebug),
@@ -182,7 +188,9 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	g.stop(stopWork)
+	g.stop(stopStocking)
+	stopWork()
+	g.watching.Wait()
 	_ = ready.Close()
 	return nil
 }
@@ -193,25 +201,49 @@
 	g.limits.Store(&l)
 }
 
-// stop lets the balancer take notice, finishes running requests and returns all tokens.
-func (g *Gateway) stop(stopWork func()) {
+// stop lets the balancer take notice, finishes running requests and returns all
+// tokens, those that are free already while the last requests run.
+func (g *Gateway) stop(stopStocking func()) {
 	begun, limits := time.Now(), g.limits.Load()
 	g.leaving.Store(true)
 	logger.GatewayLeaving.Log(g.Log, "router", g.Name, "running", g.fleet.running())
 	time.Sleep(limits.LeaveTime)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(limits.StopTime))
+	stopStocking()
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(limits.StopTime-exitTime))
 	defer cancel()
-	finish, cancelFinish := context.WithDeadline(ctx, begun.Add(limits.StopTime-returnTime))
+	finish, cancelFinish := context.WithDeadline(ctx, begun.Add(limits.StopTime-exitTime-returnTime))
 	defer cancelFinish()
-	err := g.callers.Shutdown(finish)
-	stopWork()
-	g.watching.Wait()
-	g.stock.Close(ctx)
-	logger.GatewayStopped.Log(g.Log, "router", g.Name, "took", time.Since(begun), "cut", err != nil)
+	var finished atomic.Bool
+	var returning sync.WaitGroup
+	returning.Go(func() { g.stock.Close(ctx, finished.Load) })
+	go func() { _ = g.callers.Shutdown(finish) }() // it waits for idle connections that the loop below doesn't
+	g.waitQuiet(finish)
+	finished.Store(true)
+	returning.Wait()
+	logger.GatewayStopped.Log(g.Log, "router", g.Name, "took", time.Since(begun), "cut", g.active.Load())
+	_ = g.callers.Close()
 }
 
-// returnTime is kept of the stop time for the return of tokens.
-const returnTime = 500 * time.Millisecond
+// waitQuiet waits until no request has run for quietTime.
+func (g *Gateway) waitQuiet(ctx context.Context) {
+	quiet := time.Now()
+	for ctx.Err() == nil && time.Since(quiet) < quietTime {
+		if g.active.Load() > 0 {
+			quiet = time.Now()
+		}
+		sleep(ctx, quietTime/10)
+	}
+}
+
+const (
+	// returnTime is kept of the stop time for the return of tokens, exitTime for
+	// the end of the process.
+	returnTime = 700 * time.Millisecond
+	exitTime   = 300 * time.Millisecond
+	// quietTime is how long a connection that was just opened may take to bring
+	// its request.
+	quietTime = 500 * time.Millisecond
+)
 
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != g.Words.ReadyPath {
@@ -242,7 +274,7 @@
 
 // enroll makes the gateway known to the fleet's other processes.
 func (g *Gateway) enroll(ctx context.Context) {
-	e := &enroller.Enroller{Store: g.store, Key: g.Words.RowKey(membersTable, g.Name), Self: enroller.Member{
+	e := &enroller.Enroller{Store: g.store, Key: g.Words.RowKey(membersTable, "", g.Name), Self: enroller.Member{
 		Name: g.Name, Incarnation: g.Incarnation, Kind: enroller.Router, Address: g.FleetListener.Addr().String(),
 		Domain: g.Domain,
 	}}
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -52,6 +52,7 @@
 	priority     int
 	// reserved is what the request may cost at most, delivered counts events.
 	reserved  int64
+	cost      int64
 	delivered int64
 	// sends counts targets that the request was sent to, ran is set once one of
 	// them may have run it.
@@ -74,6 +75,8 @@
 
 // serveCall answers one request of a caller.
 func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
 	q := &request{http: r, begun: time.Now(), tried: make(map[string]bool)}
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -88,9 +91,10 @@
 		g.refuse(w, q, ref)
 		return
 	}
-	defer g.settle(q)
 	g.retries.request(q.service.Name, q.begun)
-	if ref := g.run(ctx, w, q); ref != nil {
+	ref := g.run(ctx, w, q)
+	g.settle(q)
+	if ref != nil {
 		g.refuse(w, q, ref)
 		return
 	}
@@ -259,6 +263,7 @@
 		}
 		cost = q.PromptTokens + min(q.delivered*events, q.MaxOutputTokens)
 	}
+	q.cost = cost
 	g.stock.Settle(q.organisation.Name, q.reserved, cost, time.Now())
 }
 
@@ -317,5 +322,6 @@
 	e.Log(g.Log, append([]any{
 		"request", q.ID, "kind", kind, "outcome", q.outcome, "status", q.status, "target", q.target, "sends", q.sends,
 		"ms", time.Since(q.begun).Milliseconds(), "events", q.delivered, "version", version,
+		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost,
 	}, more...)...)
 }
--- a/internal/process/spender/beater.go
+++ b/internal/process/spender/beater.go
@@ -13,7 +13,9 @@
 
 const (
 	// beatInterval is how often a router shows that it is in touch with the platform.
-	beatInterval = 500 * time.Millisecond
+	beatInterval = 200 * time.Millisecond
+	// minBeatInterval bounds beats that are asked for.
+	minBeatInterval = 20 * time.Millisecond
 	// unknownSilence stands for the silence of an incarnation that isn't known.
 	unknownSilence = 24 * time.Hour
 )
@@ -28,6 +30,10 @@
 	Table       storer.Committer
 	Incarnation string
 	Key         string
+	// Marks returns the marks that a beat should carry; Beaten is called when one
+	// has taken effect.
+	Marks  func() map[string]BeatMark
+	Beaten func()
 	// Failed and Back are called when beats stop and begin to take effect.
 	Failed func(err error)
 	Back   func(silence time.Duration)
@@ -42,35 +48,74 @@
 	version     uint64
 	predecessor string
 	silence     time.Duration
-	known       chan struct{}
-	failing     bool
+	// marks are those of the newest beat known to have taken effect, sent those
+	// of the one under way, left those of the predecessor.
+	marks   map[string]BeatMark
+	sent    map[string]BeatMark
+	left    map[string]BeatMark
+	wake    chan struct{}
+	known   chan struct{}
+	failing bool
 }
 
 // wireBeat is the form of a beat in the table.
 type wireBeat struct {
 	Incarnation string `json:"incarnation"`
 	AtMillis    int64  `json:"atMillis"`
+	// Marks are by organisation.
+	Marks map[string]wireMark `json:"marks"`
 }
 
-// Age returns the time since the newest beat was made up.
-func (b *Beater) Age() time.Duration {
+type wireMark struct {
+	Commit uint64  `json:"commit"`
+	Mark   int64   `json:"mark"`
+	Slope  float64 `json:"slope"`
+}
+
+// Mark returns the mark of an organisation that the newest beat known to have
+// taken effect carries, and the time since the newest beat was made up.
+func (b *Beater) Mark(organisation string) (BeatMark, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.beatAt.IsZero() {
-		return 0
+		return BeatMark{}, 0
 	}
-	return time.Since(b.beatAt)
+	return b.marks[organisation], time.Since(b.beatAt)
 }
 
-// Silence returns an upper bound of how long after its last beat an earlier
-// incarnation of this router can have lived.
-func (b *Beater) Silence(incarnation string) time.Duration {
+// Last returns the last mark of an earlier incarnation of this router, and an
+// upper bound of how long after its last beat it can have lived.
+func (b *Beater) Last(incarnation, organisation string) (BeatMark, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if incarnation == b.predecessor {
-		return b.silence
+		return b.left[organisation], b.silence
+	}
+	return BeatMark{}, unknownSilence
+}
+
+// Failing reports whether beats don't take effect.
+func (b *Beater) Failing() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failing
+}
+
+// Wake asks for a beat at once.
+func (b *Beater) Wake() {
+	select {
+	case b.wakeChan() <- struct{}{}:
+	default:
+	}
+}
+
+func (b *Beater) wakeChan() chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.wake == nil {
+		b.wake = make(chan struct{}, 1)
 	}
-	return unknownSilence
+	return b.wake
 }
 
 // WaitKnown waits until the predecessor's beat is known.
@@ -111,6 +156,9 @@
 		case err == nil:
 			b.answered(receipt.Clock, receipt.Version)
 			open = nil
+			if b.Beaten != nil {
+				b.Beaten()
+			}
 		case errors.As(err, &conflict):
 			b.conflicted(conflict, sent)
 			open = nil
@@ -121,14 +169,30 @@
 		}
 		b.report(err, conflict != nil)
 		if conflict == nil {
-			pause(ctx, beatInterval)
+			b.rest(ctx)
 		}
 	}
 }
 
+// rest waits for the next beat.
+func (b *Beater) rest(ctx context.Context) {
+	pause(ctx, minBeatInterval)
+	timer := time.NewTimer(beatInterval - minBeatInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-b.wakeChan():
+	}
+}
+
 // next makes up a beat; it is sent unchanged until its outcome is known, so that
 // no beat can take effect that is younger than beatAt.
 func (b *Beater) next() *storer.Commit {
+	var marks map[string]BeatMark
+	if b.Marks != nil {
+		marks = b.Marks()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -137,7 +201,12 @@
 	if !b.clockAt.IsZero() {
 		at += now.Sub(b.clockAt)
 	}
-	value, _ := json.Marshal(wireBeat{Incarnation: b.Incarnation, AtMillis: at.Milliseconds()}) // always encodes
+	b.sent = marks
+	beat := wireBeat{Incarnation: b.Incarnation, AtMillis: at.Milliseconds(), Marks: make(map[string]wireMark, len(marks))}
+	for name, m := range marks {
+		beat.Marks[name] = wireMark(m)
+	}
+	value, _ := json.Marshal(beat) // always encodes
 	c := &storer.Commit{}
 	c.Update(b.Key, b.version, value)
 	return c
@@ -147,6 +216,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.clock, b.clockAt, b.version = clock, time.Now(), version
+	b.marks = b.sent
 }
 
 // conflicted learns the row: this incarnation's own beat, whose answer was lost,
@@ -162,9 +232,16 @@
 			return // an unreadable beat leaves the silence unknown
 		}
 	}
+	if beat.Incarnation == b.Incarnation {
+		b.marks = b.sent // the beat whose answer was lost: it was sent unchanged
+	}
 	if beat.Incarnation == "" || beat.Incarnation == b.Incarnation {
 		return
 	}
+	b.left = make(map[string]BeatMark, len(beat.Marks))
+	for name, m := range beat.Marks {
+		b.left[name] = BeatMark(m)
+	}
 	// The predecessor had ended when this process started, at most this much
 	// platform time after its beat.
 	start := conflict.Clock - sent.Sub(b.started)
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -33,6 +33,23 @@
 	Commit uint64
 }
 
+// BeatMark is a mark that a beat renews between two commits of the row.
+type BeatMark struct {
+	// Commit is the commit of the holding that the mark belongs to.
+	Commit uint64
+	Mark   int64
+	Slope  float64
+}
+
+// with returns the holding with the mark of a beat, if that belongs to it.
+func (h RowHolder) with(b BeatMark) RowHolder {
+	if b.Commit == h.Commit {
+		h.Mark = max(h.Mark, b.Mark)
+		h.Slope = max(h.Slope, b.Slope)
+	}
+	return h
+}
+
 // Authorised returns how much of a holding its holder may have promised at a
 // time since its last beat.
 //
@@ -43,7 +60,7 @@
 	if sinceBeat >= FullAfter {
 		return h.Held
 	}
-	return min(h.Held, h.Mark+int64(h.Slope*max(sinceBeat.Seconds(), 0)))
+	return min(h.Held, h.Mark+int64(h.Slope*max((sinceBeat-slopeDelay).Seconds(), 0)))
 }
 
 // heldByOthers returns the sum of all holdings but self's.
@@ -59,16 +76,18 @@
 
 // Stock policy figures.
 const (
-	// markTime is the demand that a mark covers beside running requests: two
-	// intervals of settlement, one of which may fail.
-	markTime = 1500 * time.Millisecond
+	// markTime is the spending that a mark covers beside running requests: two
+	// intervals between beats, one of which may be late.
+	markTime = 450 * time.Millisecond
 	// slopeFactor is how much faster than recent demand a holder may spend while
 	// it can't renew its mark.
 	slopeFactor = 1.5
+	// slopeDelay is the time since the last beat from which a holder may spend
+	// beyond its mark. Most crashes and restarts of a process take less.
+	slopeDelay = 1200 * time.Millisecond
 	// FullAfter is the time since the last beat after which a holder may promise
-	// all that it holds. A crash of a host and its restart take less (up to four
-	// and a half seconds in the users' deployments).
-	FullAfter = 5 * time.Second
+	// all that it holds; most losses of power take less.
+	FullAfter = 4 * time.Second
 	// stockWindow is the time over which demand is averaged.
 	stockWindow = 5 * time.Second
 	// returnFactor is how far above its target a holding may stand before the
@@ -92,14 +111,17 @@
 	Held int64
 	Busy int64
 	Need int64
-	Rate float64
+	// Rate is what requests ask for, SpendRate what they cost, in tokens a second.
+	Rate      float64
+	SpendRate float64
 	// Horizon is the time for which a stock should last.
 	Horizon time.Duration
 }
 
 // StockMark returns the mark of a holding after a commit.
 func StockMark(v StockView, held int64) int64 {
-	return min(held, v.Busy+max(int64(v.Rate*markTime.Seconds()), v.Need))
+	floor := int64(v.least(max(v.Limit-v.Spent, 0)) / 4)
+	return min(held, v.Busy+max(int64(v.SpendRate*markTime.Seconds()), v.Need, floor))
 }
 
 // StockTarget returns what a holder should hold.
@@ -117,11 +139,15 @@
 	if v.Rate+v.OthersRate > 0 {
 		share = evenShare*share + (1-evenShare)*v.Rate/(v.Rate+v.OthersRate)
 	}
-	least := evenShare * float64(pool) / float64(v.Others+1)
-	stock := min(max(v.Rate*v.Horizon.Seconds(), least), float64(pool)*share)
+	stock := min(max(v.Rate*v.Horizon.Seconds(), v.least(pool)), float64(pool)*share)
 	return v.Busy + max(int64(stock), v.Need)
 }
 
+// least returns what a holder without demand should hold of a pool.
+func (v StockView) least(pool int64) float64 {
+	return evenShare * float64(pool) / float64(v.Others+1)
+}
+
 // StockChange returns what to draw (positive) or return (negative) now.
 func StockChange(v StockView) int64 {
 	target := StockTarget(v)
@@ -179,14 +205,20 @@
 
 // free returns what a new reservation may take: it must be authorised by the
 // row as committed and, if a commit's outcome isn't known, by that one too.
-func (a *stockAccount) free(sinceBeat time.Duration) int64 {
-	free := a.held.Authorised(sinceBeat) - a.spent - a.busy
+func (a *stockAccount) free(beat BeatMark, sinceBeat time.Duration) int64 {
+	free := a.held.with(beat).Authorised(sinceBeat) - a.spent - a.busy
 	if a.open != nil {
-		free = min(free, a.open.held.Authorised(sinceBeat)-(a.spent-a.open.settle)-a.busy)
+		free = min(free, a.open.held.with(beat).Authorised(sinceBeat)-(a.spent-a.open.settle)-a.busy)
 	}
 	return free
 }
 
+// unheld returns how much of an amount isn't covered by what is held, whatever
+// its mark.
+func (a *stockAccount) unheld(amount int64) bool {
+	return a.held.Held-a.spent-a.busy < amount
+}
+
 // rate returns demand in tokens a second as it will be settled.
 func (a *stockAccount) rate(now time.Time) float64 {
 	asked := a.asked.value(now)
@@ -201,7 +233,7 @@
 func (a *stockAccount) view(self string, horizon time.Duration, now time.Time) StockView {
 	v := StockView{
 		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held.Held - a.spent, Busy: a.busy, Need: a.need,
-		Rate: a.rate(now), Horizon: horizon,
+		Rate: a.rate(now), SpendRate: a.cost.value(now), Horizon: horizon,
 	}
 	for name, h := range a.row.Holders {
 		if name == self {
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -30,6 +30,11 @@
 	// idleInterval is how often an account without requests is looked at, so that
 	// tokens that it needs no more go back.
 	idleInterval = 2 * time.Second
+	// paceFactor and maxInterval bound the part of the time in which a holder has
+	// a commit under way, maxPause the pause after each.
+	paceFactor  = 8
+	maxInterval = 3 * time.Second
+	maxPause    = 500 * time.Millisecond
 	// commitTries is how often a commit is tried anew with the rows that it
 	// conflicted with.
 	commitTries = 4
@@ -76,11 +81,11 @@
 	defer s.mu.Unlock()
 	a := s.account(organisation)
 	a.limit = limit
-	return s.reserve(a, amount)
+	return s.reserve(organisation, a, amount)
 }
 
-func (s *Stocker) reserve(a *stockAccount, amount int64) error {
-	if a.free(s.Beats.Age()) >= amount {
+func (s *Stocker) reserve(organisation string, a *stockAccount, amount int64) error {
+	if s.free(organisation, a) >= amount {
 		a.busy += amount
 		return nil
 	}
@@ -89,10 +94,61 @@
 	}
 	a.need = max(a.need, amount)
 	a.changed = true
-	s.wake()
+	if a.unheld(amount) {
+		s.wake()
+	} else {
+		s.Beats.Wake()
+	}
 	return ErrElsewhere
 }
 
+func (s *Stocker) free(organisation string, a *stockAccount) int64 {
+	mark, age := s.Beats.Mark(organisation)
+	return a.free(mark, age)
+}
+
+// Marks returns the marks that the next beat should carry, for accounts whose
+// mark has to rise.
+func (s *Stocker) Marks() map[string]BeatMark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	marks := make(map[string]BeatMark)
+	for name, a := range s.accounts {
+		if a.held.Held == 0 {
+			continue
+		}
+		v := a.view(s.Incarnation, s.Horizon, now)
+		mark := BeatMark{
+			Commit: a.held.Commit, Mark: min(a.held.Held, a.spent+StockMark(v, v.Held)), Slope: slopeFactor * v.SpendRate,
+		}
+		if last, _ := s.Beats.Mark(name); last.Commit == mark.Commit {
+			mark.Mark, mark.Slope = max(mark.Mark, last.Mark), max(mark.Slope, last.Slope)
+		}
+		if mark.Mark > a.held.Mark || mark.Slope > a.held.Slope {
+			marks[name] = mark
+		}
+		if !a.unheld(a.need) {
+			a.need = 0
+		}
+	}
+	return marks
+}
+
+// Beaten wakes those that wait for a higher mark.
+func (s *Stocker) Beaten() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wakeWaiters()
+}
+
+func (s *Stocker) wakeWaiters() {
+	for _, ch := range s.waiters {
+		close(ch)
+	}
+	s.waiters = nil
+}
+
 // Demand counts what a request asks for, granted or not.
 func (s *Stocker) Demand(organisation string, amount int64, now time.Time) {
 	s.mu.Lock()
@@ -130,7 +186,7 @@
 	defer s.mu.Unlock()
 	ch := make(chan struct{})
 	s.waiters = append(s.waiters, ch)
-	return ch, !s.failing
+	return ch, !s.failing && !s.Beats.Failing()
 }
 
 // Balance describes an account for logs.
@@ -153,19 +209,19 @@
 	defer s.mu.Unlock()
 	a := s.account(organisation)
 	return Balance{
-		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held.Held, Free: a.free(s.Beats.Age()),
+		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held.Held, Free: s.free(organisation, a),
 		Elsewhere: a.row.heldByOthers(s.Incarnation), Age: now.Sub(a.seenAt),
 	}
 }
 
 // Run keeps the stocks until ctx ends; then it returns all tokens that are free.
 func (s *Stocker) Run(ctx context.Context) {
-	timer := time.NewTicker(s.Interval)
-	defer timer.Stop()
 	if !s.Beats.WaitKnown(ctx) {
 		return
 	}
-	for {
+	timer := time.NewTimer(s.Interval)
+	defer timer.Stop()
+	for ctx.Err() == nil {
 		urgent := false
 		select {
 		case <-ctx.Done():
@@ -174,17 +230,36 @@
 		case <-s.kicked():
 			urgent = true
 		}
+		begun := time.Now()
 		s.flush(ctx, urgent, false)
+		took := time.Since(begun)
+		if !urgent {
+			timer.Reset(s.pace(took))
+		}
+		pause(ctx, min(took, maxPause))
 	}
 }
 
-// Close settles everything and gives all free tokens back, until ctx ends.
-func (s *Stocker) Close(ctx context.Context) {
-	for ctx.Err() == nil && !s.flush(ctx, false, true) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(s.Interval / 4):
+// pace returns the time to the next commit: a store that is slow or turns calls
+// away gets fewer of them, since commits that wait for each other only take longer.
+func (s *Stocker) pace(took time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failing {
+		return maxInterval
+	}
+	return min(max(s.Interval, paceFactor*took), maxInterval)
+}
+
+// Close settles and gives back all free tokens again and again, until idle
+// reports that no request runs and nothing is left, or ctx ends.
+func (s *Stocker) Close(ctx context.Context, idle func() bool) {
+	for ctx.Err() == nil {
+		last := idle()
+		if s.flush(ctx, false, true) && last {
+			return
 		}
+		pause(ctx, s.Interval/4)
 	}
 }
 
@@ -222,10 +297,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failing = err != nil && !errors.Is(err, storer.ErrConflict)
-	for _, ch := range s.waiters {
-		close(ch)
-	}
-	s.waiters = nil
+	s.wakeWaiters()
 	return clean
 }
 
@@ -313,7 +385,7 @@
 	a.commit++
 	held := v.Held + change
 	p := &stockPlan{commit: a.commit, settle: a.spent, held: RowHolder{
-		Router: s.Router, Held: held, Mark: StockMark(v, held), Slope: slopeFactor * v.Rate, Busy: a.busy,
+		Router: s.Router, Held: held, Mark: StockMark(v, held), Slope: slopeFactor * v.SpendRate, Busy: a.busy,
 		Rate: v.Rate, Commit: a.commit,
 	}}
 	p.row = Row{Spent: a.row.Spent + a.spent, Holders: make(map[string]RowHolder, len(a.row.Holders)+1)}
@@ -379,7 +451,8 @@
 		if h.Router != s.Router || name == s.Incarnation {
 			continue
 		}
-		spent := h.Authorised(s.Beats.Silence(name))
+		mark, silence := s.Beats.Last(name, organisation)
+		spent := h.with(mark).Authorised(silence)
 		a.row.Spent += spent
 		delete(a.row.Holders, name)
 		a.changed = true
