Placement by tokens left to prefill, loads pushed within 40 ms, pace of targets

Ruled out: slots (a dozen of 32 in use), budget waits (35 ms at p90), targets for short prompts (38 ms).

--- a/internal/connection/framer/store.go
+++ b/internal/connection/framer/store.go
@@ -71,10 +71,11 @@
 // TargetLoad is what one router has running at a target.
 type TargetLoad struct {
 	Target string
-	// Load is the weight of the requests, Short and Long their number by kind.
-	Load  float64
-	Short int
-	Long  int
+	// Pending is what is left to prefill, in tokens, Short and Long the number of
+	// requests by kind.
+	Pending int64
+	Short   int
+	Long    int
 }
 
 // PeerReport tells another router what this one has running and suspects.
@@ -122,7 +123,7 @@
 		return &wire.Frame{Body: &wire.Frame_PeerReport{PeerReport: &wire.PeerReport{
 			Incarnation: m.Incarnation, Poison: m.Poison, Version: m.Version,
 			Loads: mapAll(m.Loads, func(l TargetLoad) *wire.TargetLoad {
-				return &wire.TargetLoad{Target: l.Target, Load: l.Load, Short: int32(l.Short), Long: int32(l.Long)}
+				return &wire.TargetLoad{Target: l.Target, Pending: l.Pending, Short: int32(l.Short), Long: int32(l.Long)}
 			}),
 		}}}
 	case *FetchKnown:
@@ -164,7 +165,7 @@
 		return &PeerReport{
 			Incarnation: r.GetIncarnation(), Poison: r.GetPoison(), Version: r.GetVersion(),
 			Loads: mapAll(r.GetLoads(), func(l *wire.TargetLoad) TargetLoad {
-				return TargetLoad{Target: l.GetTarget(), Load: l.GetLoad(), Short: int(l.GetShort()), Long: int(l.GetLong())}
+				return TargetLoad{Target: l.GetTarget(), Pending: l.GetPending(), Short: int(l.GetShort()), Long: int(l.GetLong())}
 			}),
 		}
 	case *wire.Frame_FetchKnown:
--- a/internal/process/gateway/fleet.go
+++ b/internal/process/gateway/fleet.go
@@ -15,17 +15,50 @@
 	// minAside and maxAside bound how long a target that failed is set aside.
 	minAside = 500 * time.Millisecond
 	maxAside = 4 * time.Second
+	// paceWeight is the weight of a new sample, minPaceSamples how many make a
+	// pace, minSlowness and maxSlowness its bounds.
+	paceWeight     = 0.1
+	minPaceSamples = 5
+	minSlowness    = 0.6
+	maxSlowness    = 8
+	// paceBaseTokens stands for the part of the time to the first token that does
+	// not depend on the prompt, so that short prompts don't look slow.
+	paceBaseTokens = 600
 	// splitRate is how fast the split of targets follows demand, per second.
 	splitRate = 0.3
 )
 
 // targetState is what this router has seen of a target.
 type targetState struct {
-	load       float64
+	// pending is what is left to prefill, in tokens; plain requests count as short.
+	pending    int64
 	short      int
 	long       int
 	failures   int
 	asideUntil time.Time
+	prefixes   prefixMemory
+	// pace is the recent time to the first token for each token that was to be
+	// prefilled, in seconds; samples counts what it is made of.
+	pace    float64
+	samples int
+}
+
+// slowness returns how much slower a target is than the mean, or 0 if unknown.
+func (s *targetState) slowness(mean float64) float64 {
+	if s.samples < minPaceSamples || mean <= 0 {
+		return 0
+	}
+	return min(max(s.pace/mean, minSlowness), maxSlowness)
+}
+
+// observe takes one request's time to its first token into the pace.
+func (s *targetState) observe(seconds, tokens float64) {
+	sample := seconds / (tokens + paceBaseTokens)
+	if s.samples == 0 {
+		s.pace = sample
+	}
+	s.samples++
+	s.pace += (sample - s.pace) * paceWeight
 }
 
 // serviceState is what this router knows of a service's demand.
@@ -41,6 +74,17 @@
 	services map[string]*serviceState
 	peers    map[string]peerLoads
 	total    int
+	// changed is set when a long request begins or ends, which peers should know soon.
+	changed bool
+}
+
+// takeChanged reports whether peers should know of a change, once for each.
+func (f *fleet) takeChanged() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.changed
+	f.changed = false
+	return changed
 }
 
 // peerLoads is what another router has running, as it said at some time.
@@ -64,8 +108,8 @@
 	defer f.mu.Unlock()
 	var out []framer.TargetLoad
 	for id, s := range f.states {
-		if s.load > 0 {
-			out = append(out, framer.TargetLoad{Target: id, Load: s.load, Short: s.short, Long: s.long})
+		if s.short+s.long > 0 {
+			out = append(out, framer.TargetLoad{Target: id, Pending: s.pending, Short: s.short, Long: s.long})
 		}
 	}
 	return out
@@ -97,7 +141,7 @@
 			continue
 		}
 		l := p.targets[target]
-		sum.Load += l.Load
+		sum.Pending += l.Pending
 		sum.Short += l.Short
 		sum.Long += l.Long
 	}
@@ -105,29 +149,38 @@
 }
 
 // plan returns the targets in the order in which a request should be offered to them.
-func (f *fleet) plan(service string, w placer.Work, entries []registrar.Entry, now time.Time) []registrar.Entry {
+func (f *fleet) plan(service string, w placer.Work, entries []registrar.Entry, now time.Time) []placer.Choice {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	targets := make([]placer.Target, len(entries))
 	slots := 1
 	var demand placer.Demand
+	mean := f.meanPace(entries)
 	for i, e := range entries {
 		s, others := f.state(e.ID), f.others(e.ID, now)
 		slots = e.Slots
-		demand.ShortRunning += float64(s.short + others.Short)
-		demand.LongRate += float64(s.long + others.Long)
+		demand.Short += s.short + others.Short
+		demand.Long += s.long + others.Long
 		targets[i] = placer.Target{
-			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, Load: s.load + others.Load,
-			Aside: now.Before(s.asideUntil),
+			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, Pending: s.pending + others.Pending,
+			Running: s.short + s.long + others.Short + others.Long, Aside: now.Before(s.asideUntil),
+			Cached: s.prefixes.known(w.Affinity, now), Slowness: s.slowness(mean),
 		}
 	}
 	pool := placer.Pool{ShortTargets: f.split(service, demand, len(entries), slots, now)}
-	order := placer.Plan(w, targets, pool)
-	out := make([]registrar.Entry, len(order))
-	for i, k := range order {
-		out[i] = entries[k]
+	return placer.Plan(w, targets, pool)
+}
+
+// meanPace returns the mean pace of the targets whose pace is known, or 0.
+func (f *fleet) meanPace(entries []registrar.Entry) float64 {
+	sum, n := 0.0, 0
+	for _, e := range entries {
+		if s := f.state(e.ID); s.samples >= minPaceSamples {
+			sum += s.pace
+			n++
+		}
 	}
-	return out
+	return sum / float64(max(n, 1))
 }
 
 // split returns how many targets of a service should serve short requests; it
@@ -152,29 +205,68 @@
 	return float64(len(f.peers) + 1)
 }
 
-// begin counts a request at a target; the returned function ends it.
-func (f *fleet) begin(target string, w placer.Work) (end func()) {
+// visit is one request at a target.
+type visit struct {
+	fleet     *fleet
+	target    string
+	work      placer.Work
+	begun     time.Time
+	pending   int64
+	ahead     int64
+	prefilled bool
+}
+
+// begin counts a request at a target until the visit ends.
+func (f *fleet) begin(target string, w placer.Work, now time.Time) *visit {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.count(target, w, 1)
-	return func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.count(target, w, -1)
+	v := &visit{fleet: f, target: target, work: w, pending: w.OwnTokens, begun: now}
+	s := f.state(target)
+	if w.Engine {
+		if !s.prefixes.known(w.Affinity, now) {
+			v.pending += w.SharedTokens
+		}
+		s.prefixes.add(w.Affinity, now)
+	}
+	v.ahead = s.pending + f.others(target, now).Pending
+	s.pending += v.pending
+	f.count(s, w, 1)
+	return v
+}
+
+// firstToken notes that the prompt has been prefilled.
+func (v *visit) firstToken() {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	if !v.prefilled && v.work.Engine {
+		v.fleet.state(v.target).observe(time.Since(v.begun).Seconds(), float64(v.ahead+v.pending))
 	}
+	v.prefill()
 }
 
-func (f *fleet) count(target string, w placer.Work, n int) {
+func (v *visit) prefill() {
+	if !v.prefilled {
+		v.prefilled = true
+		v.fleet.state(v.target).pending -= v.pending
+	}
+}
+
+// end counts the request no more.
+func (v *visit) end() {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	v.prefill()
+	v.fleet.count(v.fleet.state(v.target), v.work, -1)
+}
+
+func (f *fleet) count(s *targetState, w placer.Work, n int) {
 	f.total += n
-	s := f.state(target)
-	s.load += float64(n) * w.Weight()
-	switch {
-	case !w.Engine:
-	case w.Long():
+	if w.Engine && w.Long() {
 		s.long += n
-	default:
-		s.short += n
+		f.changed = true
+		return
 	}
+	s.short += n
 }
 
 // failed sets a target aside, longer each time in a row.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -157,6 +157,7 @@
 	g.watching.Go(func() { g.followConfiguration(work) })
 	g.watching.Go(func() { g.followTargets(work) })
 	g.watching.Go(func() { g.followMembers(work) })
+	g.watching.Go(func() { g.pushReports(work) })
 	g.watching.Go(func() { g.enroll(work) })
 	g.watching.Go(func() { g.beats.Run(work) })
 	stocking, stopStocking := context.WithCancel(work)
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/spender"
+	"github.com/egretroute/egretroute/internal/request/placer"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -59,10 +60,14 @@
 	sends int
 	ran   bool
 	tried map[string]bool
+	// first is the time to the first byte of the answer, sent that to the last send.
+	first time.Duration
+	sent  time.Duration
 	// outcome is what the log says of the end.
 	outcome string
 	status  int
 	target  string
+	choice  placer.Choice
 }
 
 // refusal is an answer of the gateway's own.
@@ -321,7 +326,8 @@
 	}
 	e.Log(g.Log, append([]any{
 		"request", q.ID, "kind", kind, "outcome", q.outcome, "status", q.status, "target", q.target, "sends", q.sends,
-		"ms", time.Since(q.begun).Milliseconds(), "events", q.delivered, "version", version,
+		"ms", time.Since(q.begun).Milliseconds(), "firstMs", q.first.Milliseconds(), "sentMs", q.sent.Milliseconds(),
+		"prompt", q.PromptTokens, "wait", int64(q.choice.Wait), "home", q.choice.Home, "events", q.delivered, "version", version,
 		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost,
 	}, more...)...)
 }
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -20,6 +20,10 @@
 const (
 	// reportInterval is how often routers exchange what they have running.
 	reportInterval = 250 * time.Millisecond
+	// pushInterval is how soon peers learn of a long request: within the time that
+	// one batch step of an engine takes. maxPushPeers bounds the peers told so.
+	pushInterval = 40 * time.Millisecond
+	maxPushPeers = 12
 	// companionInterval is how often a link to a companion is probed.
 	companionInterval = 2 * time.Second
 	// maxCompanions is how many companions a router keeps links to: one for each
@@ -177,3 +181,31 @@
 	}
 	return chosen
 }
+
+// pushReports tells peers of long requests at once, since what they don't know
+// of they would place theirs behind.
+func (g *Gateway) pushReports(ctx context.Context) {
+	var busy sync.Map // link names with a push under way
+	for ctx.Err() == nil {
+		sleep(ctx, pushInterval)
+		names := g.peers.routers.Live()
+		if len(names) > maxPushPeers || !g.fleet.takeChanged() {
+			continue
+		}
+		for _, name := range names {
+			link := g.peers.routers.Link(name)
+			if link == nil {
+				continue
+			}
+			if _, pushing := busy.LoadOrStore(name, true); pushing {
+				continue
+			}
+			go func() {
+				defer busy.Delete(name)
+				callCtx, cancel := context.WithTimeout(ctx, reportInterval)
+				defer cancel()
+				_ = g.exchangeReports(callCtx, name, link) // a lost push is made up for by the next report
+			}()
+		}
+	}
+}
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -49,9 +49,7 @@
 
 // run offers a request to targets until it is answered or nothing is left to try.
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, q *request) *refusal {
-	work := placer.Work{
-		PromptTokens: q.PromptTokens, Affinity: q.affinity(), Engine: q.service.Engine != nil, Domain: g.Domain,
-	}
+	work := q.work(g.Domain)
 	out := &output{w: w, q: q}
 	for dials := 0; dials <= maxDials; {
 		now := time.Now()
@@ -91,11 +89,27 @@
 	return g.exhausted(q, out, busyRetryAfter)
 }
 
+// work returns the shape of the request.
+func (q *request) work(domain string) placer.Work {
+	w := placer.Work{
+		PromptTokens: q.PromptTokens, OwnTokens: q.PromptTokens, Affinity: q.affinity(), Engine: q.service.Engine != nil,
+		Domain: domain,
+	}
+	if n := len(q.Prefix); n > 0 {
+		w.OwnTokens = q.Prefix[n-1].Tokens
+		for _, p := range q.Prefix[1:max(n-1, 1)] {
+			w.SharedTokens += p.Tokens
+		}
+	}
+	return w
+}
+
 // next returns the best target that was not tried.
 func (g *Gateway) next(q *request, work placer.Work, now time.Time) (registrar.Entry, bool) {
 	entries := g.targets.Service(q.service.Name, now)
-	for _, e := range g.fleet.plan(q.service.Name, work, entries, now) {
-		if !q.tried[e.ID] {
+	for _, c := range g.fleet.plan(q.service.Name, work, entries, now) {
+		if e := entries[c.Index]; !q.tried[e.ID] {
+			q.choice = c
 			return e, true
 		}
 	}
@@ -140,12 +154,16 @@
 	// begun is set once the head has been sent.
 	begun    bool
 	splitter splitterState
+	// visit is the request at the target that answers.
+	visit *visit
 }
 
 // send offers the request to one target and passes its answer on.
 func (g *Gateway) send(ctx context.Context, out *output, q *request, work placer.Work, target registrar.Entry) ending {
-	end := g.fleet.begin(target.ID, work)
-	defer end()
+	v := g.fleet.begin(target.ID, work, time.Now())
+	defer v.end()
+	out.visit = v
+	q.sent = time.Since(q.begun)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	resp, err := g.pool.Exchange(ctx, target.Address, exchanger.Request{
@@ -220,7 +238,8 @@
 		g.metrics.sends.WithLabelValues("ok").Inc()
 		g.fleet.succeeded(target.ID)
 	}
-	g.metrics.firstByte(q.route.Kind.String(), time.Since(q.begun))
+	q.first = time.Since(q.begun)
+	g.metrics.firstByte(q.route.Kind.String(), q.first)
 	out.head(g.Dialect.Returned(resp.Header), resp.Status, len(body) <= maxBuffered, len(body))
 	_, err = out.w.Write(body)
 	if err == nil && len(body) > maxBuffered {
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -56,8 +56,10 @@
 	if len(whole) == 0 {
 		return nil
 	}
+	out.visit.firstToken()
 	if q.delivered == 0 {
-		g.metrics.firstByte(q.route.Kind.String(), time.Since(q.begun))
+		q.first = time.Since(q.begun)
+		g.metrics.firstByte(q.route.Kind.String(), q.first)
 	}
 	q.delivered = out.splitter.Events
 	if _, err := out.w.Write(whole); err != nil {
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -85,8 +85,11 @@
 }
 
 func (s *Stocker) reserve(organisation string, a *stockAccount, amount int64) error {
-	if s.free(organisation, a) >= amount {
+	if free := s.free(organisation, a); free >= amount {
 		a.busy += amount
+		if free < 2*amount {
+			s.Beats.Wake() // so that the next request need not wait for a beat
+		}
 		return nil
 	}
 	if a.row.Spent+a.spent+amount > a.limit {
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -6,16 +6,17 @@
 //   - Long prompts beside short streams. Prefill delays every stream of the same
 //     batch, so long prompts are kept on a part of the targets. The part for short
 //     streams follows the number of them that run, so that their slots suffice.
+//   - Long prompts behind each other. A prompt waits for the prefill of those
+//     before it, so it goes where the least is left to prefill, its own included.
 //   - Shared prefixes. Requests that share all parts of their prompt but the last
-//     meet on the same two targets, so that shared parts are prefilled seldom.
-//   - Hot prefixes. The less loaded of the two takes the request, and a third
-//     target is taken when both are far above the mean.
+//     have the same two homes, where those parts count as cached; elsewhere they
+//     count as work, so a home is left only when waiting there would take longer.
 //   - Plain services. The least loaded target takes the request, the nearer one
 //     where loads are equal.
 //
 // # Usage
 //
-//	order := placer.Plan(placer.Work{PromptTokens: 9000, Affinity: h, Engine: true}, targets, placer.Pool{ShortTargets: 6})
+//	order := placer.Plan(placer.Work{PromptTokens: 9000, Engine: true, ...}, targets, placer.Pool{ShortTargets: 6})
 //	best := targets[order[0]]
 package placer
 
@@ -29,26 +30,37 @@
 	// LongPromptTokens is the prompt length from which a request counts as long;
 	// such a prompt takes several batch steps of an engine to prefill.
 	LongPromptTokens = 3000
-	// longWeight is the load of a long request, in short ones: its prefill takes
-	// about as long as six short ones (docs/MEASUREMENTS.md).
-	longWeight = 6
 	// shortOccupancy is the share of an engine's slots that short streams should
-	// fill; beyond it each token takes notably longer.
+	// fill, so that they find a free slot while their number swings.
 	shortOccupancy = 0.55
 	// maxShortShare and minShortShare bound the part for short streams.
 	maxShortShare = 0.7
 	minShortShare = 0.2
-	// spill is how far above the mean load of its part, per slot, a target may be
-	// before the request goes to the least loaded one.
-	spill = 0.25
-	// full is the load per slot at which a part counts as full and requests go
-	// to the other part.
-	full = 0.95
+	// runningTokens is what a running stream counts as, in tokens to prefill: it
+	// makes each step a little longer.
+	runningTokens = 40
+	// sharedFactor makes shared parts that would be read again count more than
+	// their own prefill: they delay the requests behind them as well.
+	sharedFactor = 2
+	// full is the share of an engine's slots from which on a request may have to
+	// wait for one, fullTokens what each request beyond it counts as.
+	full       = 0.9
+	fullTokens = 4000
+	// quietTokens is how much may be left to prefill on a target for short
+	// streams, with a long prompt added, without a pause that callers notice.
+	quietTokens = 6000
+	// spillTokens is how much longer the wait among the targets for long prompts
+	// must be before one goes to a target for short streams.
+	spillTokens = 20000
 )
 
 // Work is the shape of a request.
 type Work struct {
 	PromptTokens int64
+	// OwnTokens is the last part of the prompt, which no other request shares,
+	// SharedTokens the parts before it but for the first, which many share.
+	OwnTokens    int64
+	SharedTokens int64
 	// Affinity is the hash of the shared parts of the prompt.
 	Affinity uint64
 	// Engine is set for work of a model engine.
@@ -62,14 +74,6 @@
 	return w.PromptTokens >= LongPromptTokens
 }
 
-// Weight returns the load of a request, in short ones.
-func (w Work) Weight() float64 {
-	if w.Engine && w.Long() {
-		return longWeight
-	}
-	return 1
-}
-
 // Target is what a router knows of a target.
 type Target struct {
 	ID string
@@ -77,17 +81,37 @@
 	Hash   uint64
 	Domain string
 	Slots  int
-	// Load is the weight of all requests that are known to be there.
-	Load float64
+	// Running is the number of requests that are known to be there, Pending the
+	// tokens of their prompts that are still to be prefilled.
+	Running int
+	Pending int64
+	// Cached is set if the request's shared parts are known to be cached there.
+	Cached bool
 	// Aside is set while the target is not to be offered work if there is another.
 	Aside bool
 	// Slowness is the factor by which the target is slower than its peers, or 0 if unknown.
 	Slowness float64
 }
 
-// perSlot returns the load for each slot, as felt by a request.
+// perSlot returns the running requests for each slot.
 func (t Target) perSlot() float64 {
-	return t.Load * max(t.Slowness, 1) / float64(max(t.Slots, 1))
+	return float64(t.Running) / float64(max(t.Slots, 1))
+}
+
+// wait returns how much is left to prefill before the request's first token, in tokens.
+func (t Target) wait(w Work, home bool) float64 {
+	tokens := float64(t.Pending + w.OwnTokens)
+	if !home && !t.Cached {
+		tokens += sharedFactor * float64(w.SharedTokens)
+	}
+	tokens += runningTokens * float64(t.Running)
+	if over := float64(t.Running+1) - full*float64(t.Slots); over > 0 {
+		tokens += fullTokens * over
+	}
+	if t.Slowness > 0 {
+		tokens *= t.Slowness
+	}
+	return tokens
 }
 
 // Pool splits the targets of an engine's service.
@@ -98,43 +122,54 @@
 
 // Demand is the work that runs over a whole service.
 type Demand struct {
-	// ShortRunning is the number of short requests that run or wait, LongRate and
-	// ShortRate the tokens a second to prefill of either kind.
-	ShortRunning float64
-	LongRate     float64
-	ShortRate    float64
+	// Short and Long are the numbers of requests of either kind that run or wait.
+	Short int
+	Long  int
 }
 
 // Split returns how many of the targets should serve short requests, as a real
-// number, so that a caller can keep it from flapping.
+// number, so that a caller can keep it from flapping; 0 means all of them.
 func Split(d Demand, targets, slots int) float64 {
-	if targets < 2 || d.LongRate == 0 || (d.ShortRunning == 0 && d.ShortRate == 0) {
+	if targets < 2 || d.Long == 0 || d.Short == 0 {
 		return 0
 	}
-	wanted := d.ShortRunning / (shortOccupancy * float64(max(slots, 1)))
+	wanted := float64(d.Short) / (shortOccupancy * float64(max(slots, 1)))
 	return min(max(wanted, minShortShare*float64(targets)), maxShortShare*float64(targets))
 }
 
-// Plan returns the indices of the targets in the order in which the request
-// should be offered to them; targets set aside come last.
-func Plan(w Work, targets []Target, pool Pool) []int {
-	order := make([]int, len(targets))
-	for i := range order {
-		order[i] = i
-	}
+// Choice is a target to offer a request to, with what decided.
+type Choice struct {
+	// Index is that of the target.
+	Index int
+	// Wait is what is left to prefill before the request's first token, in tokens.
+	Wait float64
+	// Home is set if requests with the same shared parts meet there.
+	Home bool
+}
+
+// Plan returns the targets in the order in which the request should be offered
+// to them; targets set aside come last.
+func Plan(w Work, targets []Target, pool Pool) []Choice {
 	if !w.Engine {
-		sortByLoad(order, targets, w.Domain)
-		return order
+		return byLoad(targets, w.Domain)
 	}
 	own, other := divide(targets, pool, w.Long())
-	ranked := rank(w, targets, own)
-	rest := rank(w, targets, other)
-	if len(ranked) == 0 || (len(rest) > 0 && targets[ranked[0]].perSlot() > full && targets[rest[0]].perSlot() < targets[ranked[0]].perSlot()/2) {
+	ranked, rest := rank(w, targets, own), rank(w, targets, other)
+	if len(ranked) == 0 || (len(rest) > 0 && spills(w, targets[rest[0].Index], ranked[0].Wait, rest[0].Wait)) {
 		ranked, rest = rest, ranked
 	}
 	return lastAside(append(ranked, rest...), targets)
 }
 
+// spills reports whether a request should leave its part of the targets for the
+// best target of the other part.
+func spills(w Work, other Target, wait, otherWait float64) bool {
+	if other.Aside || otherWait+spillTokens > wait {
+		return false
+	}
+	return !w.Long() || otherWait < quietTokens
+}
+
 // divide returns the targets for the request's kind and the others. Every
 // router orders targets by their hash, so all of them divide alike.
 func divide(targets []Target, pool Pool, long bool) (own, other []int) {
@@ -153,36 +188,27 @@
 	return order[:n], order[n:]
 }
 
-// rank orders targets for a request: the less loaded of its two homes first,
-// unless it is far above the mean; then by load.
-func rank(w Work, targets []Target, among []int) []int {
-	order := slices.Clone(among)
-	sortByLoad(order, targets, "")
-	usable, mean := 0, 0.0
-	for _, i := range order {
-		if !targets[i].Aside {
-			mean += targets[i].perSlot()
-			usable++
-		}
+// rank orders targets by the wait that the request would have there.
+func rank(w Work, targets []Target, among []int) []Choice {
+	home := homes(w.Affinity, targets, among)
+	order := make([]Choice, len(among))
+	for k, i := range among {
+		atHome := slices.Contains(home, i)
+		order[k] = Choice{Index: i, Wait: targets[i].wait(w, atHome), Home: atHome}
 	}
-	mean /= float64(max(usable, 1))
-	best := -1
-	for _, i := range homes(w.Affinity, targets, among) {
-		if best < 0 || targets[i].perSlot() < targets[best].perSlot() {
-			best = i
-		}
-	}
-	if best < 0 || targets[best].perSlot() > mean+spill {
-		return order
+	slices.SortStableFunc(order, func(a, b Choice) int { return cmp.Compare(a.Wait, b.Wait) })
+	return lastAside(order, targets)
+}
+
+func asInt(b bool) int {
+	if b {
+		return 1
 	}
-	at := slices.Index(order, best)
-	copy(order[1:at+1], order[:at])
-	order[0] = best
-	return order
+	return 0
 }
 
 // homeCount is how many targets requests with the same shared parts meet on.
-const homeCount = 2
+const homeCount = 1
 
 // homes returns the usable targets with the highest scores by rendezvous hashing.
 func homes(affinity uint64, targets []Target, among []int) []int {
@@ -215,27 +241,19 @@
 	return x ^ x>>31
 }
 
-// sortByLoad sorts by load per slot; domain, if not empty, goes first among equals.
-func sortByLoad(order []int, targets []Target, domain string) {
-	near := func(i int) int {
-		if domain == "" || targets[i].Domain == domain {
-			return 0
-		}
-		return 1
+// byLoad orders targets by load per slot; those of the domain go first among equals.
+func byLoad(targets []Target, domain string) []Choice {
+	order := make([]Choice, len(targets))
+	for i := range order {
+		order[i] = Choice{Index: i, Wait: math.Floor(targets[i].perSlot() * loadSteps), Home: targets[i].Domain == domain}
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		ta, tb := targets[a], targets[b]
-		if ta.Aside != tb.Aside {
-			if ta.Aside {
-				return 1
-			}
-			return -1
-		}
-		if c := cmp.Compare(math.Floor(ta.perSlot()*loadSteps), math.Floor(tb.perSlot()*loadSteps)); c != 0 {
+	slices.SortStableFunc(order, func(a, b Choice) int {
+		if c := cmp.Compare(a.Wait, b.Wait); c != 0 {
 			return c
 		}
-		return cmp.Compare(near(a), near(b))
+		return cmp.Compare(asInt(b.Home), asInt(a.Home))
 	})
+	return lastAside(order, targets)
 }
 
 // loadSteps is how finely loads are told apart: a difference below half of a
@@ -243,16 +261,9 @@
 const loadSteps = 8
 
 // lastAside moves targets set aside to the end.
-func lastAside(order []int, targets []Target) []int {
-	slices.SortStableFunc(order, func(a, b int) int {
-		switch {
-		case targets[a].Aside == targets[b].Aside:
-			return 0
-		case targets[a].Aside:
-			return 1
-		default:
-			return -1
-		}
+func lastAside(order []Choice, targets []Target) []Choice {
+	slices.SortStableFunc(order, func(a, b Choice) int {
+		return cmp.Compare(asInt(targets[a.Index].Aside), asInt(targets[b.Index].Aside))
 	})
 	return order
 }
