--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -61,6 +61,8 @@
 	Signed bool
 	// NotRun is set if the target did not run the request and never will.
 	NotRun bool
+	// OtherTarget is set if another target than the one meant answered.
+	OtherTarget bool
 }
 
 // Dialect translates between headers and what the gateway knows.
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -25,7 +25,7 @@
 	// of a store that answers.
 	drawWait = time.Second
 	// drawTries is how many commits a request waits for.
-	drawTries = 3
+	drawTries = 8
 	// freshConfiguration is the age up to which a configuration may be taken for
 	// the newest; beyond it a budget may have been raised unseen.
 	freshConfiguration = 2500 * time.Millisecond
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -208,7 +208,10 @@
 	answer := g.Dialect.ReadAnswer(resp.Status, resp.Header)
 	if answer.NotRun {
 		g.metrics.sends.WithLabelValues("notRun").Inc()
-		logger.TargetRefused.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status)
+		logger.TargetRefused.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status, "revision", target.Revision)
+		if answer.OtherTarget {
+			g.targets.Moved(target.ID, target.Revision)
+		}
 		return endedNotRun
 	}
 	q.ran = true
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -46,6 +46,8 @@
 type target struct {
 	Entry
 	goneAt time.Time // zero while the entry stands
+	// moved is set once another target answered at the address.
+	moved bool
 }
 
 // Registrar is the list of targets.
@@ -91,6 +93,16 @@
 	}
 }
 
+// Moved takes a target out at whose address another one answered, until its
+// entry changes.
+func (r *Registrar) Moved(id string, revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t, ok := r.targets[id]; ok && t.Revision == revision {
+		t.moved = true
+	}
+}
+
 // Replace takes over a whole list; targets that it lacks are gone.
 func (r *Registrar) Replace(entries []Entry, now time.Time, stable bool) {
 	r.mu.Lock()
@@ -99,6 +111,10 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
+		if old, ok := r.targets[e.ID]; ok && old.Revision == e.Revision {
+			old.goneAt = time.Time{}
+			continue
+		}
 		r.targets[e.ID] = &target{Entry: e}
 	}
 	for id := range r.targets {
@@ -125,7 +141,7 @@
 			delete(r.targets, id)
 			continue
 		}
-		if t.Service == name && !t.Leaving {
+		if t.Service == name && !t.Leaving && !t.moved {
 			out = append(out, t.Entry)
 		}
 	}
--- a/internal/process/spender/meter.go
+++ b/internal/process/spender/meter.go
@@ -65,3 +65,13 @@
 func (d *demand) value(now time.Time) (fast, slow float64) {
 	return d.fast.value(now), d.slow.value(now)
 }
+
+// seed makes a meter that has just begun start from a rate known otherwise.
+func (m *meter) seed(rate float64, now time.Time) {
+	if m.sum >= rate {
+		return
+	}
+	m.sum = rate
+	m.last = now
+	m.begun = now.Add(-minMeterAge)
+}
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -106,8 +106,8 @@
 	OthersRate float64
 	// Others is the number of other holders.
 	Others int
-	// Held is what this holder holds, Busy what of it is promised, Need what a
-	// request that could not be covered asks for.
+	// Held is what this holder holds, Busy what of it is promised, Need what
+	// requests that could not be covered ask for.
 	Held int64
 	Busy int64
 	Need int64
@@ -121,7 +121,7 @@
 // StockMark returns the mark of a holding after a commit.
 func StockMark(v StockView, held int64) int64 {
 	floor := int64(v.least(max(v.Limit-v.Spent, 0)) / 4)
-	return min(held, v.Busy+max(int64(v.SpendRate*markTime.Seconds()), v.Need, floor))
+	return min(held, v.Busy+max(int64(v.SpendRate*markTime.Seconds()), floor)+v.Need)
 }
 
 // StockTarget returns what a holder should hold.
@@ -140,7 +140,7 @@
 		share = evenShare*share + (1-evenShare)*v.Rate/(v.Rate+v.OthersRate)
 	}
 	stock := min(max(v.Rate*v.Horizon.Seconds(), v.least(pool)), float64(pool)*share)
-	return v.Busy + max(int64(stock), v.Need)
+	return v.Busy + int64(stock) + v.Need
 }
 
 // least returns what a holder without demand should hold of a pool.
@@ -155,8 +155,8 @@
 	free := v.Held - v.Busy
 	wanted := target - v.Busy
 	switch {
-	case free < v.Need || float64(free) < drawFactor*float64(wanted):
-		return min(wanted-free, room)
+	case v.Need > 0 || float64(free) < drawFactor*float64(wanted):
+		return max(min(wanted-free, room), 0)
 	case float64(free) > returnFactor*float64(wanted):
 		return wanted - free
 	default:
@@ -172,7 +172,7 @@
 	// spent is settled and not yet committed; busy is promised to running requests.
 	spent int64
 	busy  int64
-	// need is the largest reservation that failed since the last commit.
+	// need sums up the reservations that failed since the last plan or beat.
 	need int64
 	// asked is the most that requests asked for in tokens a second; cost and
 	// bound sum up what settled requests cost and could have cost.
@@ -197,6 +197,7 @@
 type stockPlan struct {
 	commit uint64
 	settle int64
+	need   int64
 	held   RowHolder
 	row    Row
 	// unanswered is set once the plan was sent and no answer came.
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -95,7 +95,7 @@
 	if a.row.Spent+a.spent+amount > a.limit {
 		return ErrExhausted
 	}
-	a.need = max(a.need, amount)
+	a.need += amount
 	a.changed = true
 	if a.unheld(amount) {
 		s.wake()
@@ -132,7 +132,7 @@
 			marks[name] = mark
 		}
 		if !a.unheld(a.need) {
-			a.need = 0
+			a.need = 0 // the marks cover it
 		}
 	}
 	return marks
@@ -325,6 +325,7 @@
 	case errors.Is(err, storer.ErrRefused):
 		for _, name := range names {
 			if a := s.accounts[name]; !a.open.unanswered {
+				a.need += a.open.need
 				a.open = nil
 			}
 		}
@@ -387,7 +388,7 @@
 	}
 	a.commit++
 	held := v.Held + change
-	p := &stockPlan{commit: a.commit, settle: a.spent, held: RowHolder{
+	p := &stockPlan{commit: a.commit, settle: a.spent, need: a.need, held: RowHolder{
 		Router: s.Router, Held: held, Mark: StockMark(v, held), Slope: slopeFactor * v.SpendRate, Busy: a.busy,
 		Rate: v.Rate, Commit: a.commit,
 	}}
@@ -397,6 +398,7 @@
 			p.row.Holders[name] = h
 		}
 	}
+	a.need = 0
 	if held > 0 || !closing {
 		p.row.Holders[s.Incarnation] = p.held
 	}
@@ -410,8 +412,7 @@
 	a.held = p.held
 	a.spent -= p.settle
 	a.row, a.version, a.seenAt = p.row, version, now
-	a.need = 0
-	a.changed = a.spent > 0
+	a.changed = a.spent > 0 || a.need > 0
 }
 
 // takeOver takes the rows of a conflict as the platform has them now and
@@ -431,6 +432,8 @@
 		mine := row.Holders[s.Incarnation]
 		if a.open != nil && a.open.commit == mine.Commit {
 			a.spent -= a.open.settle
+		} else if a.open != nil {
+			a.need += a.open.need
 		}
 		a.open = nil
 		a.held = mine
@@ -459,6 +462,7 @@
 		a.row.Spent += spent
 		delete(a.row.Holders, name)
 		a.changed = true
+		a.asked.seed(h.Rate, time.Now())
 		if s.Recovered != nil {
 			s.Recovered(organisation, spent, h.Held-spent)
 		}
