Routers lend each other tokens

Cause: logged balances at refusals: the row had no tokens left while other routers held several percent of the budget, or the store could not be reached. Now a request may run on another router's reservation, under a voucher; a loan whose cost is never reported counts as spent whole.

--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -52,8 +52,11 @@
 	service      *matcher.Service
 	priority     int
 	// reserved is what the request may cost at most, delivered counts events.
-	reserved  int64
-	cost      int64
+	reserved int64
+	cost     int64
+	// lender is the router whose tokens are reserved under the voucher, if any.
+	lender    string
+	voucher   string
 	delivered int64
 	// sends counts targets that the request was sent to, ran is set once one of
 	// them may have run it.
@@ -226,6 +229,9 @@
 			break
 		}
 	}
+	if errors.Is(err, spender.ErrElsewhere) && g.borrow(ctx, q, name, amount) {
+		return nil
+	}
 	balance := g.stock.Balance(name, time.Now())
 	logger.BudgetRefused.Log(g.Log, "request", q.ID, "organisation", name, "amount", amount, "limit", balance.Limit,
 		"spent", balance.Spent, "free", balance.Free, "elsewhere", balance.Elsewhere, "rowAge", balance.Age, "error", err)
@@ -269,6 +275,10 @@
 		cost = q.PromptTokens + min(q.delivered*events, q.MaxOutputTokens)
 	}
 	q.cost = cost
+	if q.lender != "" {
+		go g.repay(q.lender, q.voucher, cost)
+		return
+	}
 	g.stock.Settle(q.organisation.Name, q.reserved, cost, time.Now())
 }
 
@@ -328,6 +338,6 @@
 		"request", q.ID, "kind", kind, "outcome", q.outcome, "status", q.status, "target", q.target, "sends", q.sends,
 		"ms", time.Since(q.begun).Milliseconds(), "firstMs", q.first.Milliseconds(), "sentMs", q.sent.Milliseconds(),
 		"prompt", q.PromptTokens, "wait", int64(q.choice.Wait), "home", q.choice.Home, "events", q.delivered, "version", version,
-		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost,
+		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost, "lender", q.lender,
 	}, more...)...)
 }
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -109,9 +109,14 @@
 	if g.relays.Serve(s, first) {
 		return
 	}
-	if r, ok := first.(*framer.PeerReport); ok {
-		g.takeReport(s.Peer.Name, r)
+	switch m := first.(type) {
+	case *framer.PeerReport:
+		g.takeReport(s.Peer.Name, m)
 		_ = s.Write(g.report()) // the caller sees the stream end
+	case *framer.Reserve:
+		g.lend(s, m)
+	case *framer.Settle:
+		g.settleLoans(s, m)
 	}
 }
 
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -70,6 +70,8 @@
 	RequestEnded         = Event{340, slog.LevelInfo, "request answered", "none"}
 	RequestNotAnswered   = Event{341, slog.LevelWarn, "request not answered", "see docs/OPERATIONS.md"}
 	BudgetRefused        = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
+	TokensLent           = Event{343, slog.LevelInfo, "tokens lent to another router", "none"}
+	LoanUnreported       = Event{344, slog.LevelWarn, "a loan's cost could not be reported", "none; the lender counts the whole loan as spent"}
 	StockCommitFailed    = Event{350, slog.LevelWarn, "commit of budget rows failed", "look at the platform's store; spending goes on from stocks"}
 	StockUnreadable      = Event{351, slog.LevelError, "budget row can't be read", "check that all routers run the same release"}
 	StockRecovered       = Event{352, slog.LevelWarn, "holding of an earlier incarnation is taken over", "none; what it may have spent counts as spent"}
@@ -86,6 +88,6 @@
 	AnswerBroken, RequestUnknown, OperatorRefused, PatchApplied, SlotClosed, SlotStuck,
 	GatewayStarted, GatewayLeaving, GatewayStopped, MetricsStopped, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedAnswers, FeedLost,
 	ConfigurationInForce, ConfigurationRefused, TargetsListed, TargetIn, TargetOut, TargetUnreadable, StoreDirectLost, StoreDirectBack, MemberUnreadable,
-	SendFailed, TargetRefused, TargetFailed, RequestEnded, RequestNotAnswered, BudgetRefused,
+	SendFailed, TargetRefused, TargetFailed, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	StockCommitFailed, StockUnreadable, StockRecovered, BeatsFailed, BeatsBack,
 }
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -1,6 +1,9 @@
 package spender
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -74,6 +77,20 @@
 	return sum
 }
 
+// lenders returns the routers other than self that hold more than they have
+// promised, those with the most first.
+func (r Row) lenders(self string) []string {
+	spare := make(map[string]int64)
+	for name, h := range r.Holders {
+		if name != self && h.Held > h.Busy {
+			spare[h.Router] += h.Held - h.Busy
+		}
+	}
+	names := slices.Collect(maps.Keys(spare))
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(spare[b], spare[a]) })
+	return names
+}
+
 // Stock policy figures.
 const (
 	// markTime is the spending that a mark covers beside running requests: two
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -70,6 +70,9 @@
 	waiters  []chan struct{}
 	kick     chan struct{}
 	failing  bool
+	// loans are reservations of other routers, by voucher.
+	loans   map[string]loan
+	closing bool
 }
 
 // Reserve sets aside the most that a request may cost.
@@ -163,7 +166,10 @@
 func (s *Stocker) Settle(organisation string, amount, cost int64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.account(organisation)
+	s.settle(s.account(organisation), amount, cost, now)
+}
+
+func (s *Stocker) settle(a *stockAccount, amount, cost int64, now time.Time) {
 	a.busy -= amount
 	cost = min(max(cost, 0), amount)
 	a.spent += cost
@@ -257,6 +263,9 @@
 // Close settles and gives back all free tokens again and again, until idle
 // reports that no request runs and nothing is left, or ctx ends.
 func (s *Stocker) Close(ctx context.Context, idle func() bool) {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
 	for ctx.Err() == nil {
 		last := idle()
 		if s.flush(ctx, false, true) && last {
