--- a/internal/process/spender/beater.go
+++ b/internal/process/spender/beater.go
@@ -16,6 +16,8 @@
 	beatInterval = 200 * time.Millisecond
 	// minBeatInterval bounds beats that are asked for.
 	minBeatInterval = 20 * time.Millisecond
+	// maxRenewal bounds the time for which a slow renewal raises marks.
+	maxRenewal = time.Second
 	// unknownSilence stands for the silence of an incarnation that isn't known.
 	unknownSilence = 24 * time.Hour
 )
@@ -51,6 +53,9 @@
 	// marks are those of the newest beat known to have taken effect, sent those
 	// of the one under way, left those of the predecessor.
 	marks   map[string]BeatMark
+	marksAt time.Time
+	// renewal is how long the last beat took.
+	renewal time.Duration
 	sent    map[string]BeatMark
 	left    map[string]BeatMark
 	wake    chan struct{}
@@ -72,15 +77,24 @@
 	Slope  float64 `json:"slope"`
 }
 
-// Mark returns the mark of an organisation that the newest beat known to have
-// taken effect carries, and the time since the newest beat was made up.
-func (b *Beater) Mark(organisation string) (BeatMark, time.Duration) {
+// Credit returns the marks of an organisation that hold now.
+func (b *Beater) Credit(organisation string) Credit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.beatAt.IsZero() {
-		return BeatMark{}, 0
+		return Credit{}
 	}
-	return b.marks[organisation], time.Since(b.beatAt)
+	now := time.Now()
+	return Credit{
+		Beaten: b.marks[organisation], BeatenAge: now.Sub(b.marksAt), Sent: b.sent[organisation], SentAge: now.Sub(b.beatAt),
+	}
+}
+
+// Renewal returns how long a beat takes to take effect.
+func (b *Beater) Renewal() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.renewal
 }
 
 // Last returns the last mark of an earlier incarnation of this router, and an
@@ -216,7 +230,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.clock, b.clockAt, b.version = clock, time.Now(), version
-	b.marks = b.sent
+	b.took()
+}
+
+// took takes over the beat under way, which has taken effect.
+func (b *Beater) took() {
+	b.marks, b.marksAt = b.sent, b.beatAt
+	b.renewal = min(time.Since(b.beatAt), maxRenewal)
 }
 
 // conflicted learns the row: this incarnation's own beat, whose answer was lost,
@@ -233,7 +253,7 @@
 		}
 	}
 	if beat.Incarnation == b.Incarnation {
-		b.marks = b.sent // the beat whose answer was lost: it was sent unchanged
+		b.took() // the beat whose answer was lost: it was sent unchanged
 	}
 	if beat.Incarnation == "" || beat.Incarnation == b.Incarnation {
 		return
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -44,6 +44,16 @@
 	Slope  float64
 }
 
+// Credit is what beats add to a holding.
+type Credit struct {
+	// Beaten is the mark of the newest beat known to have taken effect, Sent that
+	// of the newest beat made up; they are the same if none is under way.
+	Beaten    BeatMark
+	BeatenAge time.Duration
+	Sent      BeatMark
+	SentAge   time.Duration
+}
+
 // with returns the holding with the mark of a beat, if that belongs to it.
 func (h RowHolder) with(b BeatMark) RowHolder {
 	if b.Commit == h.Commit {
@@ -96,12 +106,14 @@
 	// markTime is the spending that a mark covers beside running requests: two
 	// intervals between beats, one of which may be late.
 	markTime = 450 * time.Millisecond
+	// renewalFactor is how much of the time of a renewal a mark covers besides.
+	renewalFactor = 2
 	// slopeFactor is how much faster than recent demand a holder may spend while
 	// it can't renew its mark.
 	slopeFactor = 1.5
 	// slopeDelay is the time since the last beat from which a holder may spend
 	// beyond its mark. Most crashes and restarts of a process take less.
-	slopeDelay = 1200 * time.Millisecond
+	slopeDelay = 2 * time.Second
 	// FullAfter is the time since the last beat after which a holder may promise
 	// all that it holds; most losses of power take less.
 	FullAfter = 4 * time.Second
@@ -135,10 +147,11 @@
 	Horizon time.Duration
 }
 
-// StockMark returns the mark of a holding after a commit.
-func StockMark(v StockView, held int64) int64 {
+// StockMark returns the mark of a holding after a commit, for a platform that
+// takes the given time to renew it.
+func StockMark(v StockView, held int64, renewal time.Duration) int64 {
 	floor := int64(v.least(max(v.Limit-v.Spent, 0)) / 4)
-	return min(held, v.Busy+max(int64(v.SpendRate*markTime.Seconds()), floor)+v.Need)
+	return min(held, v.Busy+max(int64(v.SpendRate*(markTime+renewalFactor*renewal).Seconds()), floor)+v.Need)
 }
 
 // StockTarget returns what a holder should hold.
@@ -221,16 +234,22 @@
 	unanswered bool
 }
 
-// free returns what a new reservation may take: it must be authorised by the
-// row as committed and, if a commit's outcome isn't known, by that one too.
-func (a *stockAccount) free(beat BeatMark, sinceBeat time.Duration) int64 {
-	free := a.held.with(beat).Authorised(sinceBeat) - a.spent - a.busy
+// free returns what a new reservation may take: it must be authorised whatever
+// of the newest commit and the newest beat has taken effect.
+func (a *stockAccount) free(c Credit) int64 {
+	free := a.authorised(a.held, c) - a.spent - a.busy
 	if a.open != nil {
-		free = min(free, a.open.held.with(beat).Authorised(sinceBeat)-(a.spent-a.open.settle)-a.busy)
+		free = min(free, a.authorised(a.open.held, c)-(a.spent-a.open.settle)-a.busy)
 	}
 	return free
 }
 
+// authorised returns what a holding allows by the last beat known to have taken
+// effect and by the one under way.
+func (a *stockAccount) authorised(h RowHolder, c Credit) int64 {
+	return min(h.with(c.Beaten).Authorised(c.BeatenAge), h.with(c.Sent).Authorised(c.SentAge))
+}
+
 // unheld returns how much of an amount isn't covered by what is held, whatever
 // its mark.
 func (a *stockAccount) unheld(amount int64) bool {
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -109,8 +109,7 @@
 }
 
 func (s *Stocker) free(organisation string, a *stockAccount) int64 {
-	mark, age := s.Beats.Mark(organisation)
-	return a.free(mark, age)
+	return a.free(s.Beats.Credit(organisation))
 }
 
 // Marks returns the marks that the next beat should carry, for accounts whose
@@ -126,9 +125,9 @@
 		}
 		v := a.view(s.Incarnation, s.Horizon, now)
 		mark := BeatMark{
-			Commit: a.held.Commit, Mark: min(a.held.Held, a.spent+StockMark(v, v.Held)), Slope: slopeFactor * v.SpendRate,
+			Commit: a.held.Commit, Mark: min(a.held.Held, a.spent+StockMark(v, v.Held, s.Beats.Renewal())), Slope: slopeFactor * v.SpendRate,
 		}
-		if last, _ := s.Beats.Mark(name); last.Commit == mark.Commit {
+		if last := s.Beats.Credit(name).Beaten; last.Commit == mark.Commit {
 			mark.Mark, mark.Slope = max(mark.Mark, last.Mark), max(mark.Slope, last.Slope)
 		}
 		if mark.Mark > a.held.Mark || mark.Slope > a.held.Slope {
@@ -398,7 +397,7 @@
 	a.commit++
 	held := v.Held + change
 	p := &stockPlan{commit: a.commit, settle: a.spent, need: a.need, held: RowHolder{
-		Router: s.Router, Held: held, Mark: StockMark(v, held), Slope: slopeFactor * v.SpendRate, Busy: a.busy,
+		Router: s.Router, Held: held, Mark: StockMark(v, held, s.Beats.Renewal()), Slope: slopeFactor * v.SpendRate, Busy: a.busy,
 		Rate: v.Rate, Commit: a.commit,
 	}}
 	p.row = Row{Spent: a.row.Spent + a.spent, Holders: make(map[string]RowHolder, len(a.row.Holders)+1)}
