--- a/internal/process/gateway/borrow.go
+++ b/internal/process/gateway/borrow.go
@@ -67,7 +67,13 @@
 // lend answers a router that asks for tokens.
 func (g *Gateway) lend(s *linker.Stream, m *framer.Reserve) {
 	reply := &framer.Reserved{}
-	if g.stock.Lend(m.Voucher, m.Organisation, m.Amount, time.Now()) {
+	ctx, cancel := context.WithTimeout(context.Background(), lendTimeout)
+	defer cancel()
+	lent := g.stock.Lend(m.Voucher, m.Organisation, m.Amount, time.Now())
+	if !lent && g.waitForDraw(ctx, time.Now().Add(lendTimeout/2)) {
+		lent = g.stock.Lend(m.Voucher, m.Organisation, m.Amount, time.Now())
+	}
+	if lent {
 		reply.Part.Amount = m.Amount
 		logger.TokensLent.Log(g.Log, "borrower", s.Peer.Name, "voucher", m.Voucher, "organisation", m.Organisation, "amount", m.Amount)
 	}
--- a/internal/process/spender/lending.go
+++ b/internal/process/spender/lending.go
@@ -14,7 +14,7 @@
 }
 
 // Lend reserves tokens for a request of another router; a repeated voucher
-// changes nothing.
+// changes nothing. A refusal may turn into a loan after the next beat.
 func (s *Stocker) Lend(voucher, organisation string, amount int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -22,7 +22,12 @@
 		return true
 	}
 	a, ok := s.accounts[organisation]
-	if !ok || amount <= 0 || s.closing || s.free(organisation, a) < amount {
+	if !ok || amount <= 0 || s.closing || a.unheld(amount) {
+		return false
+	}
+	if s.free(organisation, a) < amount {
+		a.need += amount
+		s.Beats.Wake() // a higher mark may cover the loan when it is asked for again
 		return false
 	}
 	s.expireLoans(now)
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -87,6 +89,17 @@
 	return sum
 }
 
+// describe lists the holders other than self as NAME:HELD/BUSY.
+func (r Row) describe(self string) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(r.Holders)) {
+		if h := r.Holders[name]; name != self && h.Held > 0 {
+			fmt.Fprintf(&b, "%s:%d/%d ", name, h.Held, h.Busy)
+		}
+	}
+	return strings.TrimSpace(b.String())
+}
+
 // lenders returns the routers other than self that hold more than they have
 // promised, those with the most first.
 func (r Row) lenders(self string) []string {
@@ -117,6 +130,8 @@
 	// FullAfter is the time since the last beat after which a holder may promise
 	// all that it holds; most losses of power take less.
 	FullAfter = 4 * time.Second
+	// givenBack is the part of a running request's bound that it likely doesn't cost.
+	givenBack = 0.1
 	// stockWindow is the time over which demand is averaged.
 	stockWindow = 5 * time.Second
 	// returnFactor is how far above its target a holding may stand before the
@@ -133,6 +148,8 @@
 	// OthersHeld and OthersRate sum up the other holders.
 	OthersHeld int64
 	OthersRate float64
+	// OthersBusy is what the others have promised to running requests.
+	OthersBusy int64
 	// Others is the number of other holders.
 	Others int
 	// Held is what this holder holds, Busy what of it is promised, Need what
@@ -173,6 +190,18 @@
 	return v.Busy + int64(stock) + v.Need
 }
 
+// Covers reports whether a budget may yet cover a request, when all that is not
+// promised and the part of running requests' bounds that they likely give back
+// are counted.
+//
+// It answers the load at the end of a budget: a request that waits for tokens
+// which won't come back is better told so at once.
+func (v StockView) Covers(amount int64) bool {
+	promised := v.Busy + v.OthersBusy
+	left := v.Limit - v.Spent - promised
+	return left+int64(givenBack*float64(promised)) >= amount
+}
+
 // least returns what a holder without demand should hold of a pool.
 func (v StockView) least(pool int64) float64 {
 	return evenShare * float64(pool) / float64(v.Others+1)
@@ -219,6 +248,8 @@
 	open   *stockPlan
 	// changed is set by every settlement or failed reservation.
 	changed bool
+	// recovered is set while the row holds a recovery that isn't committed yet.
+	recovered bool
 	// plannedAt is when the account was last looked at.
 	plannedAt time.Time
 }
@@ -279,6 +310,7 @@
 		v.Others++
 		v.OthersHeld += h.Held
 		v.OthersRate += h.Rate
+		v.OthersBusy += h.Busy
 	}
 	return v
 }
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -35,6 +35,8 @@
 	paceFactor  = 8
 	maxInterval = 3 * time.Second
 	maxPause    = 500 * time.Millisecond
+	// freshRow is the age up to which other holders' promises in a row are believed.
+	freshRow = 1500 * time.Millisecond
 	// commitTries is how often a commit is tried anew with the rows that it
 	// conflicted with.
 	commitTries = 4
@@ -95,7 +97,9 @@
 		}
 		return nil
 	}
-	if a.row.Spent+a.spent+amount > a.limit {
+	now := time.Now()
+	v := a.view(s.Incarnation, s.Horizon, now)
+	if v.Spent+amount > v.Limit || (now.Sub(a.seenAt) < freshRow && !v.Covers(amount)) {
 		return ErrExhausted
 	}
 	a.need += amount
@@ -207,6 +211,8 @@
 	Held      int64
 	Free      int64
 	Elsewhere int64
+	// Holders names the others that hold tokens, with held and busy ones.
+	Holders string
 	// Age is how old the platform's row is.
 	Age time.Duration
 }
@@ -218,7 +224,7 @@
 	a := s.account(organisation)
 	return Balance{
 		Limit: a.limit, Spent: a.row.Spent + a.spent, Held: a.held.Held, Free: s.free(organisation, a),
-		Elsewhere: a.row.heldByOthers(s.Incarnation), Age: now.Sub(a.seenAt),
+		Elsewhere: a.row.heldByOthers(s.Incarnation), Holders: a.row.describe(s.Incarnation), Age: now.Sub(a.seenAt),
 	}
 }
 
@@ -387,11 +393,11 @@
 	if urgent && a.need == 0 {
 		return nil
 	}
-	if change == 0 && a.spent == 0 && a.need == 0 && a.version != 0 {
+	if change == 0 && a.spent == 0 && a.need == 0 && a.version != 0 && !a.recovered {
 		a.changed = false
 		return nil
 	}
-	if closing && a.held.Held == 0 && a.spent == 0 {
+	if closing && a.held.Held == 0 && a.spent == 0 && !a.recovered {
 		return nil
 	}
 	a.commit++
@@ -420,6 +426,7 @@
 	a.held = p.held
 	a.spent -= p.settle
 	a.row, a.version, a.seenAt = p.row, version, now
+	a.recovered = false
 	a.changed = a.spent > 0 || a.need > 0
 }
 
@@ -446,7 +453,7 @@
 		a.open = nil
 		a.held = mine
 		a.version, a.row, a.seenAt = byName[name].Version, row, now
-		a.changed = true
+		a.changed, a.recovered = true, false
 		s.recover(name, a)
 	}
 }
@@ -469,7 +476,7 @@
 		spent := h.with(mark).Authorised(silence)
 		a.row.Spent += spent
 		delete(a.row.Holders, name)
-		a.changed = true
+		a.changed, a.recovered = true, true
 		a.asked.seed(h.Rate, time.Now())
 		if s.Recovered != nil {
 			s.Recovered(organisation, spent, h.Held-spent)
