--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -123,13 +123,13 @@
 	renewalFactor = 2
 	// slopeFactor is how much faster than recent demand a holder may spend while
 	// it can't renew its mark.
-	slopeFactor = 1.5
+	slopeFactor = 2
 	// slopeDelay is the time since the last beat from which a holder may spend
 	// beyond its mark. Most crashes and restarts of a process take less.
 	slopeDelay = 2 * time.Second
 	// FullAfter is the time since the last beat after which a holder may promise
-	// all that it holds; most losses of power take less.
-	FullAfter = 4 * time.Second
+	// all that it holds: longer than the cuts that the users expect.
+	FullAfter = 12 * time.Second
 	// givenBack is the part of a running request's bound that it likely doesn't cost.
 	givenBack = 0.1
 	// stockWindow is the time over which demand is averaged.
@@ -164,6 +164,12 @@
 	Horizon time.Duration
 }
 
+// StockSlope returns the slope of a holding's mark, in tokens a second; a holder
+// without demand gets the pace of a small one.
+func StockSlope(v StockView) float64 {
+	return max(slopeFactor*v.SpendRate, v.least(max(v.Limit-v.Spent, 0))/4)
+}
+
 // StockMark returns the mark of a holding after a commit, for a platform that
 // takes the given time to renew it.
 func StockMark(v StockView, held int64, renewal time.Duration) int64 {
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -129,7 +129,7 @@
 		}
 		v := a.view(s.Incarnation, s.Horizon, now)
 		mark := BeatMark{
-			Commit: a.held.Commit, Mark: min(a.held.Held, a.spent+StockMark(v, v.Held, s.Beats.Renewal())), Slope: slopeFactor * v.SpendRate,
+			Commit: a.held.Commit, Mark: min(a.held.Held, a.spent+StockMark(v, v.Held, s.Beats.Renewal())), Slope: StockSlope(v),
 		}
 		if last := s.Beats.Credit(name).Beaten; last.Commit == mark.Commit {
 			mark.Mark, mark.Slope = max(mark.Mark, last.Mark), max(mark.Slope, last.Slope)
@@ -403,7 +403,7 @@
 	a.commit++
 	held := v.Held + change
 	p := &stockPlan{commit: a.commit, settle: a.spent, need: a.need, held: RowHolder{
-		Router: s.Router, Held: held, Mark: StockMark(v, held, s.Beats.Renewal()), Slope: slopeFactor * v.SpendRate, Busy: a.busy,
+		Router: s.Router, Held: held, Mark: StockMark(v, held, s.Beats.Renewal()), Slope: StockSlope(v), Busy: a.busy,
 		Rate: v.Rate, Commit: a.commit,
 	}}
 	p.row = Row{Spent: a.row.Spent + a.spent, Holders: make(map[string]RowHolder, len(a.row.Holders)+1)}
