--- a/cmd/egretroute/process.go
+++ b/cmd/egretroute/process.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -39,8 +40,13 @@
 	return err
 }
 
-func newLogger() *slog.Logger {
-	return logger.New(os.Stdout, slog.LevelInfo)
+// logFlushTime bounds the wait for the last log lines at the end of a process.
+const logFlushTime = time.Second
+
+func newLogger(life fx.Lifecycle) *slog.Logger {
+	q := logger.NewQueue(os.Stdout)
+	life.Append(fx.StopHook(func() { q.Close(logFlushTime) }))
+	return logger.New(q, slog.LevelInfo)
 }
 
 func listen(address string) (net.Listener, error) {
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -2,6 +2,11 @@
 
 import "log/slog"
 
+// The events of every process.
+var (
+	LinesDropped = Event{100, slog.LevelWarn, "log lines were dropped", "look at what reads the output; lines about successes go first"}
+)
+
 // The events of agents.
 var (
 	AgentStarted   = Event{101, slog.LevelInfo, "agent started", "none"}
@@ -82,6 +87,7 @@
 
 // Catalogue lists every event by number.
 var Catalogue = []Event{
+	LinesDropped,
 	AgentStarted, AgentLeaving, AgentDrained, AgentCutOff, TargetCrashed, HolderFenced, PeerRefused, ClaimLoose,
 	VersionInForce, VersionRefused,
 	RouterStarted, RouterReady, RouterLeaving, RouterStopped, RouterCutOff, FlushFailed, FlushRecovered,
