--- a/cmd/egretroute/check.go
+++ b/cmd/egretroute/check.go
@@ -26,13 +26,13 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return "check -settings FILE [-kind router|agent|fleet]\n"
+	return "check -settings FILE [-kind router|agent|gateway|companion|fleet]\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "file to check")
-	f.StringVar(&c.kind, "kind", "", "router, agent or fleet; found out from the keys if left out")
+	f.StringVar(&c.kind, "kind", "", "router, agent, gateway, companion or fleet; found out from the keys if left out")
 }
 
 // Execute implements subcommands.Command; it exits with 2 if there is a fault.
@@ -61,6 +61,12 @@
 	case "agent":
 		_, err := configurer.LoadAgent(c.settings)
 		return err
+	case "gateway":
+		_, err := configurer.LoadGateway(c.settings)
+		return err
+	case "companion":
+		_, err := configurer.LoadCompanion(c.settings)
+		return err
 	default:
 		return checkFleet(text)
 	}
--- a/internal/connection/framer/fuzz_test.go
+++ b/internal/connection/framer/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -41,6 +42,24 @@
 		&framer.Settle{Bills: []framer.Bill{bill}},
 		&framer.Settled{Durable: []uint64{1}},
 		&framer.FetchFleet{NewerThan: 1},
+		&framer.RelayCommit{
+			Conditions: []framer.RowCondition{{Key: "a//b", Version: 3}},
+			Writes:     []framer.RowWrite{{Key: "a//b", Value: []byte("v")}, {Key: "a//c", Delete: true}},
+		},
+		&framer.RelayWatch{Table: "t", After: 4, Wait: time.Second},
+		&framer.Relayed{
+			Outcome: framer.RelayConflict, Version: 5, Clock: time.Second, Error: "e",
+			Rows: []framer.RowValue{{Key: "a//b", Version: 3, Value: []byte("v")}, {Key: "a//c", Version: 4, Deleted: true}},
+		},
+		&framer.PeerReport{
+			Incarnation: "r@1", Loads: []framer.TargetLoad{{Target: "t", Pending: 7, Short: 1, Long: 2}},
+			Poison: []string{"p"}, Version: 6,
+		},
+		&framer.FetchKnown{},
+		&framer.Known{
+			Configuration: []byte("{}"), Targets: []framer.RowValue{{Key: "servers//i", Version: 1, Value: []byte("x")}},
+			Members: []framer.RowValue{{Key: "processes//r", Version: 2, Value: []byte("y")}},
+		},
 		&framer.FleetDocument{Version: 1, Document: []byte("d")},
 		&framer.Audit{Runner: "r", Attempt: 1, RequestID: "q", Organisation: "o", Parts: []framer.Part{part}, Agent: "a"},
 		&framer.Audited{State: framer.AuditBilled, Bills: []framer.Bill{bill}},
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -336,15 +336,21 @@
 	return d
 }
 
-// KindOf tells from its keys whether a file is for a router, an agent or a fleet.
+// KindOf tells from its keys what a file is for.
 func KindOf(text []byte) string {
 	var keys map[string]any
 	if err := toml.Unmarshal(text, &keys); err != nil {
 		return "router"
 	}
+	if _, ok := keys["readyAddress"]; ok {
+		return "gateway"
+	}
 	if _, ok := keys["callerAddress"]; ok {
 		return "router"
 	}
+	if _, ok := keys["store"]; ok {
+		return "companion"
+	}
 	if _, ok := keys["target"]; ok {
 		return "agent"
 	}
--- a/internal/process/configurer/configurer_test.go
+++ b/internal/process/configurer/configurer_test.go
@@ -16,7 +16,7 @@
 	text, err := os.ReadFile("../../../docs/SETTINGS.md")
 	assert.NilError(t, err)
 	named := 0
-	for _, file := range []any{routerFile{}, peerFile{}, operatorFile{}, agentFile{}} {
+	for _, file := range []any{routerFile{}, peerFile{}, operatorFile{}, agentFile{}, gatewayFile{}, companionFile{}} {
 		typ := reflect.TypeOf(file)
 		for i := range typ.NumField() {
 			key := typ.Field(i).Tag.Get("toml")
@@ -38,9 +38,14 @@
 		t.Run(title, func(t *testing.T) {
 			path := filepath.Join(t.TempDir(), "settings.toml")
 			assert.NilError(t, os.WriteFile(path, []byte(body), 0o600))
-			if strings.HasSuffix(title, "agent") {
+			switch {
+			case strings.HasSuffix(title, "agent"):
 				_, err = LoadAgent(path)
-			} else {
+			case strings.HasSuffix(title, "gateway"):
+				_, err = LoadGateway(path)
+			case strings.HasSuffix(title, "companion"):
+				_, err = LoadCompanion(path)
+			default:
 				_, err = LoadRouter(path)
 			}
 			var faults Faults
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -70,6 +70,9 @@
 			continue
 		case endedNotRun:
 		case endedFailed:
+			if ctx.Err() != nil {
+				return g.timedOut(q, out)
+			}
 			if !q.route.Repeatable() && !q.route.Resumable {
 				return g.failed(q)
 			}
