--- /dev/null
+++ b/internal/process/registrar/registrar_test.go
@@ -0,0 +1,79 @@
+package registrar_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/egretroute/egretroute/internal/process/registrar"
+)
+
+// TestScripts plays testdata/scripts.txt: steps with their time in ms, and the
+// targets expected at some of them.
+func TestScripts(t *testing.T) {
+	text, err := os.ReadFile("testdata/scripts.txt")
+	assert.NilError(t, err)
+	for _, block := range strings.Split(string(text), "\n=== ")[1:] {
+		title, script, _ := strings.Cut(block, "\n")
+		t.Run(title, func(t *testing.T) {
+			r := registrar.New()
+			for _, line := range strings.Split(strings.TrimSpace(script), "\n") {
+				play(t, r, line)
+			}
+		})
+	}
+}
+
+func play(t *testing.T, r *registrar.Registrar, line string) {
+	t.Helper()
+	fields := strings.Fields(line)
+	var millis int
+	_, err := fmt.Sscan(fields[0], &millis)
+	assert.NilError(t, err, line)
+	now := time.UnixMilli(int64(millis))
+	args := fields[2:]
+	switch fields[1] {
+	case "put":
+		r.Put(entry(t, args[0]))
+	case "delete":
+		r.Delete(args[0], now, len(args) < 2)
+	case "moved":
+		e := entry(t, args[0])
+		r.Moved(e.ID, e.Revision)
+	case "list":
+		var entries []registrar.Entry
+		unstable := false
+		for _, a := range args {
+			if a == "unstable" {
+				unstable = true
+				continue
+			}
+			entries = append(entries, entry(t, a))
+		}
+		r.Replace(entries, now, !unstable)
+	case "expect":
+		var ids []string
+		for _, e := range r.Service("llm", now) {
+			ids = append(ids, e.ID)
+		}
+		assert.Equal(t, strings.Join(ids, " "), strings.Join(args, " "), line)
+	default:
+		t.Fatalf("unknown step %q", line)
+	}
+}
+
+// entry reads ID:REVISION, with an exclamation mark if the target is leaving.
+func entry(t *testing.T, s string) registrar.Entry {
+	t.Helper()
+	e := registrar.Entry{Service: "llm"}
+	s, e.Leaving = strings.CutSuffix(s, "!")
+	id, revision, _ := strings.Cut(s, ":")
+	e.ID = id
+	_, err := fmt.Sscan(revision, &e.Revision)
+	assert.NilError(t, err)
+	return e
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -33,6 +33,10 @@
 	// shortOccupancy is the share of an engine's slots that short streams should
 	// fill, so that they find a free slot while their number swings.
 	shortOccupancy = 0.55
+	// pressedOccupancy is the share that they may fill while long prompts press,
+	// longRunning how many long requests a target serves without that.
+	pressedOccupancy = 0.8
+	longRunning      = 4
 	// maxShortShare and minShortShare bound the part for short streams.
 	maxShortShare = 0.7
 	minShortShare = 0.2
@@ -133,7 +137,12 @@
 	if targets < 2 || d.Long == 0 || d.Short == 0 {
 		return 0
 	}
-	wanted := float64(d.Short) / (shortOccupancy * float64(max(slots, 1)))
+	perTarget := float64(max(slots, 1))
+	wanted, forLong := float64(d.Short)/(shortOccupancy*perTarget), float64(d.Long)/longRunning
+	if wanted+forLong > float64(targets) {
+		shared := float64(targets) * wanted / (wanted + forLong)
+		wanted = min(wanted, max(shared, float64(d.Short)/(pressedOccupancy*perTarget)))
+	}
 	return min(max(wanted, minShortShare*float64(targets)), maxShortShare*float64(targets))
 }
 
