--- a/cmd/egretroute/main.go
+++ b/cmd/egretroute/main.go
@@ -30,6 +30,7 @@
 	commander.Register(&standinCommand{}, "processes")
 	commander.Register(&ctlCommand{}, "operators")
 	commander.Register(&checkCommand{}, "operators")
+	commander.Register(&explainCommand{}, "operators")
 	commander.Register(&loadCommand{}, "trials")
 	commander.Register(&demoCommand{}, "trials")
 	commander.Register(&trialCommand{}, "trials")
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -126,7 +126,7 @@
 		}
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
-	resp, err := readOwn(c, req)
+	resp, err := readOwn(c, req) //nolint:bodyclose // Response.Close ends it with its connection
 	if err != nil {
 		stop()
 		_ = c.Close()
--- a/internal/connection/framer/fuzz_test.go
+++ b/internal/connection/framer/fuzz_test.go
@@ -53,7 +53,6 @@
 		},
 		&framer.PeerReport{
 			Incarnation: "r@1", Loads: []framer.TargetLoad{{Target: "t", Pending: 7, Short: 1, Long: 2}},
-			Poison: []string{"p"}, Version: 6,
 		},
 		&framer.FetchKnown{},
 		&framer.Known{
--- a/internal/connection/framer/store.go
+++ b/internal/connection/framer/store.go
@@ -78,12 +78,10 @@
 	Long    int
 }
 
-// PeerReport tells another router what this one has running and suspects.
+// PeerReport tells another router what this one has running.
 type PeerReport struct {
 	Incarnation string
 	Loads       []TargetLoad
-	Poison      []string
-	Version     uint64
 }
 
 // FetchKnown asks a router for what it knows, for one that starts while the
@@ -123,7 +121,7 @@
 		}}}
 	case *PeerReport:
 		return &wire.Frame{Body: &wire.Frame_PeerReport{PeerReport: &wire.PeerReport{
-			Incarnation: m.Incarnation, Poison: m.Poison, Version: m.Version,
+			Incarnation: m.Incarnation,
 			Loads: mapAll(m.Loads, func(l TargetLoad) *wire.TargetLoad {
 				return &wire.TargetLoad{Target: l.Target, Pending: l.Pending, Short: int32(l.Short), Long: int32(l.Long)}
 			}),
@@ -166,7 +164,7 @@
 	case *wire.Frame_PeerReport:
 		r := b.PeerReport
 		return &PeerReport{
-			Incarnation: r.GetIncarnation(), Poison: r.GetPoison(), Version: r.GetVersion(),
+			Incarnation: r.GetIncarnation(),
 			Loads: mapAll(r.GetLoads(), func(l *wire.TargetLoad) TargetLoad {
 				return TargetLoad{Target: l.GetTarget(), Pending: l.GetPending(), Short: int(l.GetShort()), Long: int(l.GetLong())}
 			}),
--- a/internal/process/gateway/fleet.go
+++ b/internal/process/gateway/fleet.go
@@ -289,6 +289,16 @@
 	s.asideUntil = time.Time{}
 }
 
+// restarted forgets what a target knew and how it fared before its last start.
+func (f *fleet) restarted(target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(target)
+	s.prefixes.clear()
+	s.failures, s.asideUntil = 0, time.Time{}
+	s.pace, s.samples = 0, 0
+}
+
 // running returns how many requests are at targets.
 func (f *fleet) running() int {
 	f.mu.Lock()
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -147,8 +147,8 @@
 				g.targets.Delete(g.Words.TargetID(row), time.Now(), stable)
 				return
 			}
-			if e, ok := g.decodeTarget(row); ok && g.targets.Put(e) {
-				logger.TargetIn.Log(g.Log, "target", e.ID, "service", e.Service, "leaving", e.Leaving, "revision", e.Revision)
+			if e, ok := g.decodeTarget(row); ok {
+				g.putTarget(e)
 			}
 		},
 		replace: func(rows []storer.Row, stable bool) {
@@ -165,6 +165,18 @@
 	})
 }
 
+func (g *Gateway) putTarget(e registrar.Entry) {
+	changed, restarted := g.targets.Put(e)
+	if restarted {
+		g.fleet.restarted(e.ID)
+		g.pool.Drop(e.Address)
+	}
+	if changed {
+		logger.TargetIn.Log(g.Log, "target", e.ID, "service", e.Service, "leaving", e.Leaving, "revision", e.Revision,
+			"restarted", restarted)
+	}
+}
+
 func (g *Gateway) decodeTarget(row storer.Row) (registrar.Entry, bool) {
 	e, err := g.Words.DecodeTarget(row)
 	if err != nil {
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -62,16 +62,19 @@
 	return &Registrar{targets: make(map[string]*target)}
 }
 
-// Put takes over an entry, unless a newer one is known.
-func (r *Registrar) Put(e Entry) (changed bool) {
+// Put takes over an entry, unless a newer one is known. A target that has
+// started again under its id knows nothing of before.
+func (r *Registrar) Put(e Entry) (changed, restarted bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, ok := r.targets[e.ID]
 	if ok && old.Revision > e.Revision {
-		return false
+		return false, false
 	}
 	r.targets[e.ID] = &target{Entry: e}
-	return !ok || old.Leaving != e.Leaving || old.Address != e.Address || !old.goneAt.IsZero()
+	restarted = ok && !old.Started.Equal(e.Started)
+	changed = !ok || restarted || old.Leaving != e.Leaving || old.Address != e.Address || !old.goneAt.IsZero()
+	return changed, restarted
 }
 
 // Delete takes a target out whose entry is gone; if the platform isn't stable
