--- a/internal/process/gateway/fleet.go
+++ b/internal/process/gateway/fleet.go
@@ -269,11 +269,15 @@
 	s.short += n
 }
 
-// failed sets a target aside, longer each time in a row.
+// failed sets a target aside, longer each time in a row. Requests that fail
+// together, as a crash makes them, count as one failure.
 func (f *fleet) failed(target string, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.state(target)
+	if now.Before(s.asideUntil) {
+		return s.asideUntil.Sub(now)
+	}
 	aside := min(minAside<<min(s.failures, 8), maxAside)
 	s.failures++
 	s.asideUntil = now.Add(aside)
