--- a/internal/process/gateway/fleet.go
+++ b/internal/process/gateway/fleet.go
@@ -171,6 +171,18 @@
 	return placer.Plan(w, targets, pool)
 }
 
+// pace returns a target's time to the first token for each token that was to be
+// prefilled, in seconds, or 0 if it isn't known.
+func (f *fleet) pace(target string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state(target)
+	if s.samples < minPaceSamples {
+		return 0
+	}
+	return s.pace
+}
+
 // meanPace returns the mean pace of the targets whose pace is known, or 0.
 func (f *fleet) meanPace(entries []registrar.Entry) float64 {
 	sum, n := 0.0, 0
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/registrar"
+	"github.com/egretroute/egretroute/internal/request/admitter"
 	"github.com/egretroute/egretroute/internal/request/placer"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
@@ -60,6 +61,9 @@
 		if !ok {
 			return g.exhausted(q, out, noTargetRetryAfter)
 		}
+		if ref := g.tooLate(q, out, work, target, now); ref != nil {
+			return ref
+		}
 		q.tried[target.ID] = true
 		q.target = target.ID
 		switch g.send(ctx, out, q, work, target) {
@@ -92,6 +96,23 @@
 	return g.exhausted(q, out, busyRetryAfter)
 }
 
+// tooLate refuses a request that nothing was sent of and whose first token would
+// come too late.
+func (g *Gateway) tooLate(q *request, out *output, work placer.Work, target registrar.Entry, now time.Time) *refusal {
+	if !work.Engine || q.ran || out.begun {
+		return nil
+	}
+	v := admitter.Decide(admitter.Request{
+		WaitTokens: q.choice.Wait, Pace: g.fleet.pace(target.ID), TimeLeft: q.deadline.Sub(now),
+	})
+	if !v.Refuse {
+		return nil
+	}
+	logger.TooLate.Log(g.Log, "request", q.ID, "target", target.ID, "wait", int64(q.choice.Wait), "firstToken", v.FirstToken,
+		"timeLeft", q.deadline.Sub(now))
+	return &refusal{status: http.StatusServiceUnavailable, reason: "no target is free in time", retryAfter: v.RetryAfter}
+}
+
 // work returns the shape of the request.
 func (q *request) work(domain string) placer.Work {
 	w := placer.Work{
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -73,6 +73,7 @@
 	SendFailed           = Event{330, slog.LevelWarn, "a send to a target failed", "look at the target and the link"}
 	TargetRefused        = Event{331, slog.LevelInfo, "a target did not run a request", "none; many of them mean that the service is full"}
 	TargetFailed         = Event{332, slog.LevelInfo, "a target answered with a failure", "look at the target"}
+	TooLate              = Event{333, slog.LevelWarn, "no target would be free in time", "too few targets, or too much work: see wait and pace"}
 	RequestEnded         = Event{340, slog.LevelInfo, "request answered", "none"}
 	RequestNotAnswered   = Event{341, slog.LevelWarn, "request not answered", "see docs/OPERATIONS.md"}
 	BudgetRefused        = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
@@ -96,6 +97,6 @@
 	GatewayStarted, GatewayLeaving, GatewayStopped, MetricsStopped, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedAnswers, FeedLost,
 	ConfigurationInForce, ConfigurationRefused, TargetsListed, TargetIn, TargetOut, TargetUnreadable, StoreDirectLost, StoreDirectBack, MemberUnreadable,
 	LearnedFromPeer,
-	SendFailed, TargetRefused, TargetFailed, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
+	SendFailed, TargetRefused, TargetFailed, TooLate, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	StockCommitFailed, StockUnreadable, StockRecovered, BeatsFailed, BeatsBack,
 }
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -45,7 +45,7 @@
 	runningTokens = 40
 	// sharedFactor makes shared parts that would be read again count more than
 	// their own prefill: they delay the requests behind them as well.
-	sharedFactor = 2
+	sharedFactor = 4
 	// full is the share of an engine's slots from which on a request may have to
 	// wait for one, fullTokens what each request beyond it counts as.
 	full       = 0.9
@@ -102,11 +102,12 @@
 	return float64(t.Running) / float64(max(t.Slots, 1))
 }
 
-// wait returns how much is left to prefill before the request's first token, in tokens.
-func (t Target) wait(w Work, home bool) float64 {
+// wait returns how much is left to prefill before the request's first token, in
+// tokens, with the shared parts counted as often as given if they aren't cached.
+func (t Target) wait(w Work, home bool, shared float64) float64 {
 	tokens := float64(t.Pending + w.OwnTokens)
 	if !home && !t.Cached {
-		tokens += sharedFactor * float64(w.SharedTokens)
+		tokens += shared * float64(w.SharedTokens)
 	}
 	tokens += runningTokens * float64(t.Running)
 	if over := float64(t.Running+1) - full*float64(t.Slots); over > 0 {
@@ -152,6 +153,8 @@
 	Index int
 	// Wait is what is left to prefill before the request's first token, in tokens.
 	Wait float64
+	// Cost is the wait with what it costs the requests behind.
+	Cost float64
 	// Home is set if requests with the same shared parts meet there.
 	Home bool
 }
@@ -164,7 +167,7 @@
 	}
 	own, other := divide(targets, pool, w.Long())
 	ranked, rest := rank(w, targets, own), rank(w, targets, other)
-	if len(ranked) == 0 || (len(rest) > 0 && spills(w, targets[rest[0].Index], ranked[0].Wait, rest[0].Wait)) {
+	if len(ranked) == 0 || (len(rest) > 0 && spills(w, targets[rest[0].Index], ranked[0].Cost, rest[0].Cost)) {
 		ranked, rest = rest, ranked
 	}
 	return lastAside(append(ranked, rest...), targets)
@@ -172,11 +175,11 @@
 
 // spills reports whether a request should leave its part of the targets for the
 // best target of the other part.
-func spills(w Work, other Target, wait, otherWait float64) bool {
-	if other.Aside || otherWait+spillTokens > wait {
+func spills(w Work, other Target, cost, otherCost float64) bool {
+	if other.Aside || otherCost+spillTokens > cost {
 		return false
 	}
-	return !w.Long() || otherWait < quietTokens
+	return !w.Long() || otherCost < quietTokens
 }
 
 // divide returns the targets for the request's kind and the others. Every
@@ -203,9 +206,11 @@
 	order := make([]Choice, len(among))
 	for k, i := range among {
 		atHome := slices.Contains(home, i)
-		order[k] = Choice{Index: i, Wait: targets[i].wait(w, atHome), Home: atHome}
+		order[k] = Choice{
+			Index: i, Wait: targets[i].wait(w, atHome, 1), Cost: targets[i].wait(w, atHome, sharedFactor), Home: atHome,
+		}
 	}
-	slices.SortStableFunc(order, func(a, b Choice) int { return cmp.Compare(a.Wait, b.Wait) })
+	slices.SortStableFunc(order, func(a, b Choice) int { return cmp.Compare(a.Cost, b.Cost) })
 	return lastAside(order, targets)
 }
 
