A beat covers the commit under way, and nothing is promised while its marks are made up

A trace of the commits showed two ways past a successor's reckoning: (1) a commit whose answer was lost had taken effect; the next beat carried marks for the commit before it only, so its age began anew under the row's old mark; (2) a reservation between the making and the sealing of a beat's marks was covered by what the older beat allowed. Ruled out: the harness, late commits, recovery itself.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -147,7 +147,7 @@
 	g.retries = &retryBudget{Limits: g.limits.Load}
 	g.metrics = newMetrics(g.Registry)
 	g.beats = &spender.Beater{
-		Marks: func() map[string]spender.BeatMark { return g.stock.Marks() }, Beaten: func() { g.stock.Beaten() },
+		Marks: func(seal func(map[string]spender.BeatMark)) { g.stock.Marks(seal) }, Beaten: func() { g.stock.Beaten() },
 		Table: g.store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name, g.Name),
 		Failed: g.beatsFailed, Back: g.beatsBack,
 	}
--- a/internal/process/spender/beater.go
+++ b/internal/process/spender/beater.go
@@ -32,9 +32,9 @@
 	Table       storer.Committer
 	Incarnation string
 	Key         string
-	// Marks returns the marks that a beat should carry; Beaten is called when one
-	// has taken effect.
-	Marks  func() map[string]BeatMark
+	// Marks hands the marks that a beat should carry to seal before anything more
+	// is promised; Beaten is called when a beat has taken effect.
+	Marks  func(seal func(marks map[string]BeatMark))
 	Beaten func()
 	// Failed and Back are called when beats stop and begin to take effect.
 	Failed func(err error)
@@ -75,6 +75,9 @@
 	Commit uint64  `json:"commit"`
 	Mark   int64   `json:"mark"`
 	Slope  float64 `json:"slope"`
+	// NextCommit and NextMark are left out if no commit was under way.
+	NextCommit uint64 `json:"nextCommit,omitempty"`
+	NextMark   int64  `json:"nextMark,omitempty"`
 }
 
 // Credit returns the marks of an organisation that hold now.
@@ -203,10 +206,16 @@
 // next makes up a beat; it is sent unchanged until its outcome is known, so that
 // no beat can take effect that is younger than beatAt.
 func (b *Beater) next() *storer.Commit {
-	var marks map[string]BeatMark
-	if b.Marks != nil {
-		marks = b.Marks()
+	var c *storer.Commit
+	if b.Marks == nil {
+		return b.seal(nil)
 	}
+	b.Marks(func(marks map[string]BeatMark) { c = b.seal(marks) })
+	return c
+}
+
+// seal makes the marks those of the beat under way.
+func (b *Beater) seal(marks map[string]BeatMark) *storer.Commit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -44,6 +44,10 @@
 	Commit uint64
 	Mark   int64
 	Slope  float64
+	// NextCommit and NextMark hold instead if a commit that was under way when the
+	// beat was made up has taken effect.
+	NextCommit uint64
+	NextMark   int64
 }
 
 // Credit is what beats add to a holding.
@@ -58,9 +62,14 @@
 
 // with returns the holding with the mark of a beat, if that belongs to it.
 func (h RowHolder) with(b BeatMark) RowHolder {
-	if b.Commit == h.Commit {
+	switch {
+	case h.Commit == 0:
+	case b.Commit == h.Commit:
 		h.Mark = max(h.Mark, b.Mark)
 		h.Slope = max(h.Slope, b.Slope)
+	case b.NextCommit == h.Commit:
+		h.Mark = max(h.Mark, b.NextMark)
+		h.Slope = max(h.Slope, b.Slope)
 	}
 	return h
 }
--- a/internal/process/spender/stock_sim_test.go
+++ b/internal/process/spender/stock_sim_test.go
@@ -100,7 +100,7 @@
 	var s *spender.Stocker
 	b := &spender.Beater{
 		Table: n.store, Incarnation: incarnation, Key: "beats/" + n.name,
-		Marks: func() map[string]spender.BeatMark { return s.Marks() }, Beaten: func() { s.Beaten() },
+		Marks: func(seal func(map[string]spender.BeatMark)) { s.Marks(seal) }, Beaten: func() { s.Beaten() },
 	}
 	s = &spender.Stocker{
 		Table: n.store, Router: n.name, Incarnation: incarnation, Prefix: "budgets/", Beats: b, Horizon: 10 * time.Second,
@@ -198,7 +198,9 @@
 
 // TestNeverOverspentUnderFaults runs routers over a store that misbehaves while
 // they are killed and started again, seed by seed; what requests cost must never
-// pass the budget.
+// pass the budget. Seed 19 once failed in one run of 130: a beat that was made up
+// while a commit was under way carried no mark for that commit, and a request
+// could be promised between the making of a beat's marks and their sealing.
 func TestNeverOverspentUnderFaults(t *testing.T) {
 	for seed := range uint64(120) {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -116,15 +116,16 @@
 	return a.free(s.Beats.Credit(organisation))
 }
 
-// Marks returns the marks that the next beat should carry, for accounts whose
-// mark has to rise.
-func (s *Stocker) Marks() map[string]BeatMark {
+// Marks hands the marks that the next beat should carry to seal, for accounts
+// whose mark has to rise. Nothing is reserved until seal returns: what the beat
+// doesn't cover must not be promised by what was allowed before.
+func (s *Stocker) Marks(seal func(marks map[string]BeatMark)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	marks := make(map[string]BeatMark)
 	for name, a := range s.accounts {
-		if a.held.Held == 0 {
+		if a.held.Held == 0 && a.open == nil {
 			continue
 		}
 		v := a.view(s.Incarnation, s.Horizon, now)
@@ -134,14 +135,18 @@
 		if last := s.Beats.Credit(name).Beaten; last.Commit == mark.Commit {
 			mark.Mark, mark.Slope = max(mark.Mark, last.Mark), max(mark.Slope, last.Slope)
 		}
-		if mark.Mark > a.held.Mark || mark.Slope > a.held.Slope {
+		if a.open != nil {
+			mark.NextCommit = a.open.commit
+			mark.NextMark = min(a.open.held.Held, mark.Mark-a.open.settle)
+		}
+		if a.open != nil || mark.Mark > a.held.Mark || mark.Slope > a.held.Slope {
 			marks[name] = mark
 		}
 		if !a.unheld(a.need) {
 			a.need = 0 // the marks cover it
 		}
 	}
-	return marks
+	seal(marks)
 }
 
 // Beaten wakes those that wait for a higher mark.
