--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -142,7 +142,17 @@
 		uncertain = uncertain || errors.Is(err, storer.ErrUnavailable)
 		last = err
 	}
-	if s.tryDirect() {
+	use, probe := s.tryDirect()
+	if probe {
+		go func() {
+			// The same call may be made on both ways, so it serves as the probe.
+			probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+			defer cancel()
+			_, err := direct(probeCtx)
+			s.noteDirect(probeCtx, err)
+		}()
+	}
+	if use {
 		type answer struct {
 			v   T
 			err error
@@ -220,18 +230,19 @@
 	return errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrRefused)
 }
 
-// tryDirect reports whether the direct way should be used for the next call.
-func (s *Store) tryDirect() bool {
+// tryDirect reports whether the direct way should be used for the next call, or
+// only probed beside it while it fails.
+func (s *Store) tryDirect() (use, probe bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.failing {
-		return true
+		return true, false
 	}
 	if now := time.Now(); now.After(s.probeAt) {
 		s.probeAt = now.Add(probeInterval)
-		return true
+		return false, true
 	}
-	return false
+	return false, false
 }
 
 func (s *Store) noteDirect(ctx context.Context, err error) {
--- a/internal/connection/relayer/relayer_test.go
+++ b/internal/connection/relayer/relayer_test.go
@@ -110,10 +110,22 @@
 
 	direct.cut.Store(false)
 	time.Sleep(1100 * time.Millisecond)
-	before := direct.calls.Load()
+	before, relayed := direct.calls.Load(), beside.calls.Load()
 	_, err = s.CommitAt(ctx, c)
 	assert.ErrorIs(t, err, storer.ErrConflict)
+	for range 100 { // the probe runs beside the call
+		if direct.calls.Load() > before {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 	assert.Equal(t, direct.calls.Load(), before+1)
+	assert.Equal(t, beside.calls.Load(), relayed+1)
+	time.Sleep(50 * time.Millisecond)
+	_, err = s.CommitAt(ctx, c)
+	assert.ErrorIs(t, err, storer.ErrConflict)
+	assert.Equal(t, direct.calls.Load(), before+2)
+	assert.Equal(t, beside.calls.Load(), relayed+1)
 }
 
 // TestUncertaintyOutlivesARefusal has the direct way give no answer and the
--- a/internal/process/gateway/borrow.go
+++ b/internal/process/gateway/borrow.go
@@ -11,7 +11,7 @@
 
 const (
 	// maxLenders is how many routers are asked for tokens.
-	maxLenders = 2
+	maxLenders = 3
 	// lendTimeout bounds one question: many times a round trip between domains.
 	lendTimeout = 150 * time.Millisecond
 	// repayTries and repayPause bound the report of a loan's cost; a loan that is
