--- a/cmd/egretroute/gateway.go
+++ b/cmd/egretroute/gateway.go
@@ -1,19 +1,11 @@
 package main
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"flag"
-	"fmt"
 	"log/slog"
-	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/google/subcommands"
 	"github.com/prometheus/client_golang/prometheus"
-	"go.uber.org/fx"
 
 	"github.com/egretroute/egretroute/internal/process/configurer"
 	"github.com/egretroute/egretroute/internal/process/gateway"
@@ -21,41 +13,12 @@
 	"github.com/egretroute/egretroute/platform"
 )
 
-// settingsVariable names the settings file where the command line does not.
-const settingsVariable = "EGRETROUTE_SETTINGS"
-
-// gatewayCommand runs a gateway.
-type gatewayCommand struct {
-	settings string
-}
-
-// Name implements subcommands.Command.
-func (*gatewayCommand) Name() string { return "gateway" }
-
-// Synopsis implements subcommands.Command.
-func (*gatewayCommand) Synopsis() string {
-	return "serve callers on an entry host of the users' platform"
-}
-
-// Usage implements subcommands.Command.
-func (*gatewayCommand) Usage() string { return "gateway [-settings FILE]\n" }
-
-// SetFlags implements subcommands.Command.
-func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settings, "settings", os.Getenv(settingsVariable), "settings file")
-}
-
-// Execute implements subcommands.Command.
-func (c *gatewayCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	s, err := configurer.LoadGateway(c.settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitUsageError
+// newGatewayCommand returns the command that runs a gateway.
+func newGatewayCommand() *settingsCommand[*configurer.Gateway] {
+	return &settingsCommand[*configurer.Gateway]{
+		name: "gateway", load: configurer.LoadGateway, providers: []any{newRegistry, newGateway},
+		synopsis: "serve callers on an entry host of the users' platform",
 	}
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	reload := &configurer.Watcher[*configurer.Gateway]{Path: c.settings, Load: configurer.LoadGateway, Signals: hangUps}
-	return exitStatus(runProcess(ctx, fx.Supply(s, reload), fx.Provide(newRegistry, newGateway)))
 }
 
 func newGateway(s *configurer.Gateway, reload *configurer.Watcher[*configurer.Gateway], registry *prometheus.Registry,
@@ -99,7 +62,7 @@
 		ConfigurationTable: platform.ConfigurationTable, ConfigurationKey: platform.ConfigurationKey,
 		TargetTable: platform.TargetTable, ReadyPath: platform.ReadyPath,
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeTarget: platform.DecodeTarget,
-		TargetID: platform.TargetID, RowKey: platform.RowKey,
+		KeyOf: platform.KeyOf, RowKey: platform.RowKey,
 	}
 }
 
--- a/cmd/egretroute/main.go
+++ b/cmd/egretroute/main.go
@@ -6,6 +6,8 @@
 //	egretroute demo
 //	egretroute router -settings router.toml
 //	egretroute agent -settings agent.toml
+//	egretroute gateway -settings gateway.toml
+//	egretroute explain 9c41d07be2a35f68 gateway.log
 //	egretroute ctl -router http://127.0.0.1:18081 budget
 package main
 
@@ -25,8 +27,8 @@
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&routerCommand{}, "processes")
 	commander.Register(&agentCommand{}, "processes")
-	commander.Register(&gatewayCommand{}, "processes")
-	commander.Register(&companionCommand{}, "processes")
+	commander.Register(newGatewayCommand(), "processes")
+	commander.Register(newCompanionCommand(), "processes")
 	commander.Register(&standinCommand{}, "processes")
 	commander.Register(&ctlCommand{}, "operators")
 	commander.Register(&checkCommand{}, "operators")
--- a/internal/connection/connector/connector.go
+++ b/internal/connection/connector/connector.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/egretroute/egretroute/internal/connection/linker"
+	"github.com/egretroute/egretroute/internal/process/pauser"
 )
 
 const (
@@ -148,7 +149,7 @@
 	for ctx.Err() == nil {
 		link, err := linker.Dial(ctx, m.address, c.Secret, c.Self())
 		if err != nil {
-			sleep(ctx, backoff/2+rand.N(backoff))
+			pauser.Pause(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -251,12 +252,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
 
@@ -92,7 +93,7 @@
 				}
 			}
 		default:
-			pause(ctx, retryInterval)
+			pauser.Pause(ctx, retryInterval)
 		}
 	}
 	return ctx.Err()
@@ -110,12 +111,3 @@
 	}
 	return m, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/storer"
 	"github.com/egretroute/egretroute/internal/version/matcher"
@@ -86,7 +87,7 @@
 	}
 	state.failedAt = now
 	g.feeds.Store(table, *state)
-	sleep(ctx, feedBackoff)
+	pauser.Pause(ctx, feedBackoff)
 }
 
 // feedAge returns how long ago the feed of a table was last answered.
@@ -100,7 +101,7 @@
 
 func (g *Gateway) followConfiguration(ctx context.Context) {
 	change := func(row storer.Row, _ bool) {
-		if g.Words.TargetID(row) == g.Words.ConfigurationKey && row.Value != nil {
+		if g.Words.KeyOf(row) == g.Words.ConfigurationKey && row.Value != nil {
 			g.takeConfiguration(row.Value)
 		}
 	}
@@ -143,8 +144,8 @@
 		change: func(row storer.Row, stable bool) {
 			g.known.put(g.known.targets, row)
 			if row.Value == nil {
-				logger.TargetOut.Log(g.Log, "target", g.Words.TargetID(row), "revision", row.Version, "stable", stable)
-				g.targets.Delete(g.Words.TargetID(row), time.Now(), stable)
+				logger.TargetOut.Log(g.Log, "target", g.Words.KeyOf(row), "revision", row.Version, "stable", stable)
+				g.targets.Delete(g.Words.KeyOf(row), time.Now(), stable)
 				return
 			}
 			if e, ok := g.decodeTarget(row); ok {
@@ -180,17 +181,8 @@
 func (g *Gateway) decodeTarget(row storer.Row) (registrar.Entry, bool) {
 	e, err := g.Words.DecodeTarget(row)
 	if err != nil {
-		logger.TargetUnreadable.Log(g.Log, "target", g.Words.TargetID(row), "revision", row.Version, "error", err)
+		logger.TargetUnreadable.Log(g.Log, "target", g.Words.KeyOf(row), "revision", row.Version, "error", err)
 		return e, false
 	}
 	return e, true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/egretroute/egretroute/internal/connection/relayer"
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/process/storer"
@@ -52,7 +53,8 @@
 	ReadyPath           string
 	DecodeConfiguration func(value []byte) (*matcher.Document, error)
 	DecodeTarget        func(row storer.Row) (registrar.Entry, error)
-	TargetID            func(row storer.Row) string
+	// KeyOf returns the key of a row within its table: a target's id, for one.
+	KeyOf func(row storer.Row) string
 	// RowKey returns the key of one of the fleet's own rows; rows of one part are
 	// written one after another.
 	RowKey func(table, part, key string) string
@@ -237,7 +239,7 @@
 		if g.active.Load() > 0 {
 			quiet = time.Now()
 		}
-		sleep(ctx, quietTime/10)
+		pauser.Pause(ctx, quietTime/10)
 	}
 }
 
--- a/internal/process/gateway/known.go
+++ b/internal/process/gateway/known.go
@@ -8,6 +8,7 @@
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
@@ -60,7 +61,7 @@
 // learn asks the seeds for what they know until this router knows enough to serve.
 func (g *Gateway) learn(ctx context.Context) {
 	for ctx.Err() == nil && !g.serving() {
-		sleep(ctx, learnInterval)
+		pauser.Pause(ctx, learnInterval)
 		for _, address := range g.Seeds {
 			if g.serving() {
 				return
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -14,6 +14,7 @@
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
 
@@ -195,7 +196,7 @@
 func (g *Gateway) pushReports(ctx context.Context) {
 	var busy sync.Map // link names with a push under way
 	for ctx.Err() == nil {
-		sleep(ctx, pushInterval)
+		pauser.Pause(ctx, pushInterval)
 		names := g.peers.routers.Live()
 		if len(names) > maxPushPeers || !g.fleet.takeChanged() {
 			continue
--- a/internal/process/gateway/run.go
+++ b/internal/process/gateway/run.go
@@ -14,6 +14,7 @@
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/request/admitter"
 	"github.com/egretroute/egretroute/internal/request/placer"
+	"github.com/egretroute/egretroute/internal/request/splitter"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -78,7 +79,7 @@
 				return g.timedOut(q, out)
 			}
 			if !q.route.Repeatable() && !q.route.Resumable {
-				return g.failed(q)
+				return failedRefusal()
 			}
 		case endedBroken:
 			if !q.route.Resumable {
@@ -147,14 +148,14 @@
 		q.outcome = outcomeBroken
 		return nil
 	case q.ran:
-		return g.failed(q)
+		return failedRefusal()
 	default:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no target took the request", retryAfter: retryAfter}
 	}
 }
 
-// failed ends a request that may have run.
-func (g *Gateway) failed(*request) *refusal {
+// failedRefusal ends a request that may have run.
+func failedRefusal() *refusal {
 	return &refusal{status: http.StatusBadGateway, reason: "the target failed"}
 }
 
@@ -176,8 +177,9 @@
 	w http.ResponseWriter
 	q *request
 	// begun is set once the head has been sent.
-	begun    bool
-	splitter splitterState
+	begun bool
+	// splitter is the state of a stream over all its runs.
+	splitter splitter.Splitter
 	// visit is the request at the target that answers.
 	visit *visit
 }
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -8,12 +8,8 @@
 
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/process/registrar"
-	"github.com/egretroute/egretroute/internal/request/splitter"
 )
 
-// splitterState is the state of a stream over all its runs.
-type splitterState = splitter.Splitter
-
 // streamBuffer is the size of one read of a stream.
 const streamBuffer = 8 << 10
 
--- a/internal/process/spender/beater.go
+++ b/internal/process/spender/beater.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
 
@@ -193,7 +194,7 @@
 
 // rest waits for the next beat.
 func (b *Beater) rest(ctx context.Context) {
-	pause(ctx, minBeatInterval)
+	pauser.Pause(ctx, minBeatInterval)
 	timer := time.NewTimer(beatInterval - minBeatInterval)
 	defer timer.Stop()
 	select {
@@ -291,12 +292,3 @@
 		b.Back(silence)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
