--- a/internal/process/gateway/fleet.go
+++ b/internal/process/gateway/fleet.go
@@ -24,6 +24,9 @@
 	// paceBaseTokens stands for the part of the time to the first token that does
 	// not depend on the prompt, so that short prompts don't look slow.
 	paceBaseTokens = 600
+	// firstShortShare is the share of a service's targets that serves short requests
+	// until demand is known: the best fixed one of the forwarder's trials.
+	firstShortShare = 0.3
 	// splitRate is how fast the split of targets follows demand, per second.
 	splitRate = 0.3
 )
@@ -201,7 +204,7 @@
 	s := f.service(service)
 	wanted := placer.Split(demand, targets, slots)
 	if s.splitAt.IsZero() {
-		s.split = 0.3 * float64(targets)
+		s.split = firstShortShare * float64(targets)
 	} else if wanted > 0 {
 		step := min(now.Sub(s.splitAt).Seconds()*splitRate, 1)
 		s.split += (wanted - s.split) * step
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -31,7 +31,7 @@
 	failedAt   time.Time
 }
 
-// follower keeps a copy of one table.
+// tableFollower takes over the rows of one table and their changes.
 type tableFollower struct {
 	table   string
 	replace func(rows []storer.Row, stable bool)
