Fault soak over separate processes: proxies, signals, a store and targets that misbehave

Checks from what callers and targets see: spend, not-run, at most once, own and whole answers, order, holding, configuration never back, stops, recovery. Each check is seen to fail on made-up evidence; the one of spending also with a store that ignores conditions.

--- /dev/null
+++ b/internal/trial/soaker/program.go
@@ -0,0 +1,202 @@
+package soaker
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/platform/platformtest"
+)
+
+// program is a gateway or a companion, which may be started many times.
+type program struct {
+	name          string
+	kind          string
+	binary        string
+	dir           string
+	callerAddress string
+	readyAddress  string
+	fleetAddress  string
+	seeds         []string
+	store         *proxy
+	retrySlack    int
+
+	mu       sync.Mutex // guards all below
+	command  *exec.Cmd
+	ended    chan struct{}
+	starts   int
+	frozen   bool
+	stopping bool
+	found    []string
+}
+
+// start begins a new incarnation, unless one runs.
+func (p *program) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		return nil
+	}
+	p.starts++
+	if err := p.writeSettings(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer log.Close()
+	p.command = exec.Command(p.binary, p.kind, "-settings", p.settingsPath())
+	p.command.Stdout, p.command.Stderr = log, log
+	if err := p.command.Start(); err != nil {
+		p.command = nil
+		return errors.Wrap(err, "start "+p.name)
+	}
+	p.ended, p.stopping, p.frozen = make(chan struct{}), false, false
+	go p.reap(p.command, p.ended)
+	return nil
+}
+
+// reap waits for the end of a process and notes one that nobody asked for.
+func (p *program) reap(command *exec.Cmd, ended chan struct{}) {
+	err := command.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == command {
+		if !p.stopping || err != nil {
+			p.found = append(p.found, fmt.Sprintf("CRASH: %s ended by itself: %v", p.name, err))
+		}
+		p.command = nil
+	}
+	close(ended)
+}
+
+func (p *program) settingsPath() string {
+	return filepath.Join(p.dir, p.name+".toml")
+}
+
+// writeSettings replaces the settings in one step, as an operator's tool does.
+func (p *program) writeSettings() error {
+	var b strings.Builder
+	line := func(key, value string) { fmt.Fprintf(&b, "%s = %q\n", key, value) }
+	line("name", p.name)
+	line("domain", "a")
+	line("fleetAddress", p.fleetAddress)
+	line("store", p.store.address())
+	line("secret", secret)
+	if p.kind == "gateway" {
+		line("callerAddress", p.callerAddress)
+		line("readyAddress", p.readyAddress)
+		line("leaveTime", "300ms")
+		line("shutdownLimit", stopLimit.String())
+		fmt.Fprintf(&b, "retrySlack = %d.0\nseeds = [%q]\n", p.retrySlack, strings.Join(p.seeds, `","`))
+	}
+	text := strings.ReplaceAll(b.String(), `\"`, `"`)
+	next := p.settingsPath() + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	return errors.Wrap(os.Rename(next, p.settingsPath()), "replace settings")
+}
+
+// reload changes a setting, with a signal or without one.
+func (p *program) reload(signal bool) error {
+	p.mu.Lock()
+	p.retrySlack = 100 - p.retrySlack + 1
+	err := p.writeSettings()
+	p.mu.Unlock()
+	if signal {
+		p.signal(syscall.SIGHUP)
+	}
+	return err
+}
+
+// signal sends a signal to the process, if one runs.
+func (p *program) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(s) // it may have just ended
+	}
+}
+
+// freeze and thaw stop and continue the process.
+func (p *program) freeze() {
+	p.signal(syscall.SIGSTOP)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = true
+}
+
+func (p *program) thaw() {
+	p.signal(syscall.SIGCONT)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = false
+}
+
+// kill ends the process without notice.
+func (p *program) kill() {
+	p.mu.Lock()
+	command, ended := p.command, p.ended
+	p.command = nil
+	p.mu.Unlock()
+	if command != nil {
+		_ = command.Process.Kill() // it may have just ended
+		<-ended
+	}
+}
+
+// stop asks the process to end; one that doesn't in time is noted and killed.
+func (p *program) stop() {
+	p.mu.Lock()
+	p.stopping = true
+	ended, running := p.ended, p.command != nil
+	p.mu.Unlock()
+	if !running {
+		return
+	}
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(stopLimit + time.Second):
+		p.mu.Lock()
+		if !p.frozen {
+			p.found = append(p.found, fmt.Sprintf("STOP: %s does not end within its limit", p.name))
+		}
+		p.mu.Unlock()
+		p.kill()
+	}
+}
+
+func (p *program) waitReady(timeout time.Duration) bool {
+	if p.kind != "gateway" {
+		return true
+	}
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); {
+		if platformtest.Ready(p.readyAddress) {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+func (p *program) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command != nil
+}
+
+func (p *program) complaints() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.found
+}
--- /dev/null
+++ b/internal/trial/soaker/soaker_test.go
@@ -0,0 +1,165 @@
+package soaker_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/egretroute/egretroute/internal/trial/soaker"
+	"github.com/egretroute/egretroute/platform/platformtest"
+)
+
+var (
+	soakSeeds    = flag.Int("soakSeeds", 1, "number of seeds to soak")
+	soakFirst    = flag.Uint64("soakFirst", 1, "first seed")
+	soakGateways = flag.Int("soakGateways", 3, "number of gateways")
+	soakTargets  = flag.Int("soakTargets", 6, "number of targets, a third of them plain services")
+	soakFaulty   = flag.Duration("soakFaulty", 12*time.Second, "how long faults come")
+	soakJobs     = flag.Int("soakJobs", 1, "number of seeds at a time")
+)
+
+// build makes the program that is soaked.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "egretroute")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/egretroute/egretroute/cmd/egretroute").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return binary
+}
+
+func play(t *testing.T, binary string, seed uint64, sabotage bool) []string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	assert.NilError(t, err)
+	s := &soaker.Soak{
+		Binary: binary, Dir: dir, Seed: seed, Gateways: *soakGateways, Companions: 2, Engines: *soakTargets - *soakTargets/3,
+		Desks: *soakTargets / 3, Callers: 4 * *soakGateways, Faulty: *soakFaulty, Calm: 6 * time.Second, Sabotage: sabotage,
+	}
+	findings, err := s.Run(t.Context())
+	assert.NilError(t, err)
+	if len(findings) == 0 {
+		assert.NilError(t, os.RemoveAll(dir))
+	} else {
+		t.Logf("seed %d, logs in %s", seed, dir)
+	}
+	return findings
+}
+
+// TestSoak plays seeds of random faults over separate processes.
+func TestSoak(t *testing.T) {
+	binary := build(t)
+	slots := make(chan struct{}, *soakJobs)
+	t.Run("seeds", func(t *testing.T) {
+		for i := range *soakSeeds {
+			seed := *soakFirst + uint64(i)
+			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+				t.Parallel()
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				for _, f := range play(t, binary, seed, false) {
+					t.Error(f)
+				}
+			})
+		}
+	})
+}
+
+// TestFindings holds made-up evidence to the promises, so that every check is
+// seen to fail.
+func TestFindings(t *testing.T) {
+	data, err := os.ReadFile("testdata/evidence.txt")
+	assert.NilError(t, err)
+	for _, one := range strings.Split(string(data), "=== ")[1:] {
+		title, rest, _ := strings.Cut(one, "\n")
+		t.Run(title, func(t *testing.T) {
+			requests, want, _ := strings.Cut(rest, "--- ")
+			var e soaker.Evidence
+			runs := make(map[string][]platformtest.Run)
+			for i, line := range strings.Split(strings.TrimSpace(requests), "\n") {
+				e.Add(parseSeen(t, fmt.Sprintf("r%d", i), line, runs))
+			}
+			found := e.Findings(soaker.Bounds{Budget: 1000, CalmFrom: at(50)}, runs)
+			if want = strings.TrimSpace(want); want == "none" {
+				assert.Equal(t, len(found), 0, "%v", found)
+				return
+			}
+			assert.Equal(t, len(found), 1, "%v", found)
+			assert.Assert(t, strings.HasPrefix(found[0], want), found[0])
+		})
+	}
+}
+
+func at(seconds float64) time.Time {
+	return time.UnixMilli(int64(seconds * 1000))
+}
+
+// parseSeen reads one line of the cases.
+func parseSeen(t *testing.T, id, line string, runs map[string][]platformtest.Run) soaker.Seen {
+	t.Helper()
+	s := soaker.Seen{Call: platformtest.Call{ID: id, Key: "alpha-key", Deadline: 2 * time.Second}, Gateway: "g@1", Begun: at(0), Ended: at(1)}
+	for _, field := range strings.Fields(line) {
+		name, value, _ := strings.Cut(field, "=")
+		number, _ := strconv.ParseFloat(value, 64) // only numeric fields use it
+		switch name {
+		case "path":
+			s.Call.Path = value
+		case "prompt":
+			s.Call.PromptTokens = int64(number)
+		case "status":
+			s.Reply.Status = int(number)
+		case "signed":
+			s.Reply.Signed = true
+		case "body":
+			s.Reply.Body = "answer of " + map[string]string{"own": id, "other": "r99"}[value]
+		case "events":
+			s.Reply.Events = parseEvents(value)
+		case "error":
+			s.Reply.Err = platformtest.ErrForeign
+		case "retry":
+			s.Reply.RetryAfter = value
+		case "runs":
+			runs[id] = make([]platformtest.Run, int(number))
+		case "begun":
+			s.Begun = at(number)
+		case "ended":
+			s.Ended = at(number)
+		case "gateway":
+			s.Gateway = value
+		default:
+			t.Fatal(errors.New("unknown field " + name))
+		}
+	}
+	return s
+}
+
+// parseEvents reads a list of numbers, or the number of events that came in order.
+func parseEvents(value string) (out []int) {
+	if parts := strings.Split(value, ","); len(parts) > 1 {
+		for _, p := range parts {
+			n, _ := strconv.Atoi(p) // the cases hold numbers only
+			out = append(out, n)
+		}
+		return out
+	}
+	count, _ := strconv.Atoi(value)
+	for n := range count {
+		out = append(out, n+1)
+	}
+	return out
+}
+
+// TestSpendCheckFailsWithoutConditions has the store apply commits whatever their
+// conditions say: routers then draw the same tokens, which the soak must find.
+func TestSpendCheckFailsWithoutConditions(t *testing.T) {
+	findings := play(t, build(t), 2, true)
+	assert.Assert(t, strings.Contains(strings.Join(findings, "\n"), "BUDGET"), "%v", findings)
+}
