A way to the store that answers is waited for; beats in a part of their own; stocks for cuts

Change: a call is relayed only once no call at all was answered directly for 1.5 s; beats have a part of their own; routers without demand hold a tenth of what is left together (2% before), what may be spent unseen grows with the length of a cut; a router that has just started asks all others for tokens.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -30,14 +30,19 @@
 	probeInterval = time.Second
 	// relaySlack is how much longer than the store's own time a relayed call may take.
 	relaySlack = 200 * time.Millisecond
-	// relayTimeout bounds a relayed commit: the store may be tens of times slower
-	// than usual.
-	relayTimeout = time.Second
-	// hedgeTime is how long the direct way may take before a call is relayed as
-	// well: a hundred times what the store takes usually.
+	// minTimeout bounds a call on a way that may be lost, maxTimeout one on a way
+	// that answers: the store may take a hundred times what is usual.
+	minTimeout = time.Second
+	maxTimeout = 3 * time.Second
+	// hedgeTime is how long a way may take at least before a call is relayed as well:
+	// a hundred times what the store takes usually.
 	hedgeTime = 400 * time.Millisecond
-	// maxRelays is how many processes a call is relayed to at most.
-	maxRelays = 2
+	// aliveTime is how long after an answer a way is taken to be alive: longer than
+	// feeds are kept waiting.
+	aliveTime = 1500 * time.Millisecond
+	// maxRelays is how many processes a call is relayed to at most; the next call
+	// tries others.
+	maxRelays = 1
 	// maxWait bounds the wait that a linked process may ask for.
 	maxWait = 30 * time.Second
 )
@@ -57,7 +62,7 @@
 func (s *Server) Serve(stream *linker.Stream, message any) bool {
 	switch m := message.(type) {
 	case *framer.RelayCommit:
-		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), maxTimeout)
 		defer cancel()
 		receipt, err := s.Store.CommitAt(ctx, decodeCommit(m))
 		reply := encodeError(err)
@@ -67,7 +72,7 @@
 		return true
 	case *framer.RelayWatch:
 		wait := min(m.Wait, maxWait)
-		ctx, cancel := context.WithTimeout(context.Background(), wait+relayTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), wait+maxTimeout)
 		defer cancel()
 		feed, err := s.watch(ctx, m, wait)
 		reply := encodeError(err)
@@ -103,6 +108,8 @@
 	mu      sync.Mutex // guards all below
 	failing bool
 	probeAt time.Time
+	// answeredAt is when the store last answered any call directly.
+	answeredAt time.Time
 	// first counts the links that failed, and so tells which to try first.
 	first int
 }
@@ -110,7 +117,7 @@
 // CommitAt implements storer.Committer.
 func (s *Store) CommitAt(ctx context.Context, c storer.Commit) (storer.Receipt, error) {
 	call := encodeCommit(c)
-	return relay(ctx, s, relayTimeout, hedgeTime,
+	return relay(ctx, s, 0,
 		func(ctx context.Context) (storer.Receipt, error) { return s.Direct.CommitAt(ctx, c) },
 		call, func(r *framer.Relayed) (storer.Receipt, error) {
 			return storer.Receipt{Version: r.Version, Clock: r.Clock}, decodeError(r)
@@ -119,21 +126,41 @@
 
 // List implements storer.Watcher.
 func (s *Store) List(ctx context.Context, table string) (storer.Feed, error) {
-	return relay(ctx, s, relayTimeout, hedgeTime,
+	return relay(ctx, s, 0,
 		func(ctx context.Context) (storer.Feed, error) { return s.Direct.List(ctx, table) },
 		&framer.RelayWatch{Table: table, List: true}, decodeFeed)
 }
 
 // Watch implements storer.Watcher.
 func (s *Store) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (storer.Feed, error) {
-	return relay(ctx, s, wait+relayTimeout, wait+hedgeTime,
+	return relay(ctx, s, wait,
 		func(ctx context.Context) (storer.Feed, error) { return s.Direct.Watch(ctx, table, after, wait) },
 		&framer.RelayWatch{Table: table, After: after, Wait: wait}, decodeFeed)
 }
 
+// patience returns how long a call may take, by whether the direct way answers.
+func (s *Store) patience() time.Duration {
+	if s.silence() > aliveTime {
+		return minTimeout
+	}
+	return maxTimeout
+}
+
+// silence returns how long ago the direct way last brought any answer.
+func (s *Store) silence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.answeredAt)
+}
+
 // relay makes one call, directly if that way works or is due for a try, and
-// through linked processes if the direct way did not lead to the store.
-func relay[T any](ctx context.Context, s *Store, timeout, hedge time.Duration, direct func(context.Context) (T, error),
+// through linked processes if the direct way did not lead to the store. wait is
+// how long the store may keep the call waiting.
+//
+// It answers a store that is slow for all: calls that are given up, or sent again
+// on other ways while the direct one still brings answers to other calls, only
+// add to the queue that they wait in.
+func relay[T any](ctx context.Context, s *Store, wait time.Duration, direct func(context.Context) (T, error),
 	call any, decode func(*framer.Relayed) (T, error)) (T, error) {
 	var zero T
 	last := errors.Wrap(storer.ErrRefused, "the direct way fails")
@@ -142,6 +169,7 @@
 		uncertain = uncertain || errors.Is(err, storer.ErrUnavailable)
 		last = err
 	}
+	timeout := wait + s.patience()
 	use, probe := s.tryDirect()
 	if probe {
 		go func() {
@@ -159,24 +187,30 @@
 		}
 		answered := make(chan answer, 1)
 		go func() {
-			v, err := direct(ctx)
+			directCtx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			v, err := direct(directCtx)
 			s.noteDirect(ctx, err)
 			answered <- answer{v: v, err: err}
 		}()
-		timer := time.NewTimer(hedge)
-		defer timer.Stop()
-		select {
-		case a := <-answered:
-			if !lostWay(a.err) {
-				return a.v, a.err
-			}
-			note(a.err)
-		case <-timer.C:
-			if len(s.Links()) == 0 {
-				a := <-answered
-				return a.v, a.err
+		ticker := time.NewTicker(hedgeTime)
+		defer ticker.Stop()
+		begun := time.Now()
+	waiting:
+		for {
+			select {
+			case a := <-answered:
+				if !lostWay(a.err) {
+					return a.v, a.err
+				}
+				note(a.err)
+				break waiting
+			case <-ticker.C:
+				if time.Since(begun) >= wait+hedgeTime && s.silence() > aliveTime && len(s.Links()) > 0 {
+					note(errors.Wrap(storer.ErrUnavailable, "the direct way is silent"))
+					break waiting
+				}
 			}
-			note(errors.Wrap(storer.ErrUnavailable, "the direct way is late"))
 		}
 	}
 	for _, link := range s.ways() {
@@ -255,6 +289,8 @@
 	s.failing = lost
 	if lost {
 		s.probeAt = time.Now().Add(probeInterval)
+	} else {
+		s.answeredAt = time.Now()
 	}
 	s.mu.Unlock()
 	switch {
--- a/internal/process/configurer/gateway.go
+++ b/internal/process/configurer/gateway.go
@@ -46,6 +46,9 @@
 	defaultRetryRatio = 0.2
 	// defaultLeaveTime is longer than two of a balancer's questions, one a second.
 	defaultLeaveTime = 2500 * time.Millisecond
+	// defaultStoreTimeout is far above what a slow store takes; calls that matter
+	// have a shorter patience, which follows the store.
+	defaultStoreTimeout = 3 * time.Second
 	// defaultStockHorizon is longer than a cut of the store that the users expect
 	// routers to live through (nine seconds in their standard days).
 	defaultStockHorizon = 10 * time.Second
@@ -66,7 +69,7 @@
 		Store:         c.address("store", f.Store), Secret: c.secret("secret", f.Secret),
 		LeaveTime:     c.duration("leaveTime", f.LeaveTime, defaultLeaveTime, 0, time.Minute),
 		ShutdownLimit: c.duration("shutdownLimit", f.ShutdownLimit, time.Minute, time.Second, time.Hour),
-		StoreTimeout:  c.duration("storeTimeout", f.StoreTimeout, time.Second, 10*time.Millisecond, time.Minute),
+		StoreTimeout:  c.duration("storeTimeout", f.StoreTimeout, defaultStoreTimeout, 10*time.Millisecond, time.Minute),
 		RetryRatio:    c.fraction("retryRatio", f.RetryRatio, defaultRetryRatio),
 		RetryWindow:   c.duration("retryWindow", f.RetryWindow, 10*time.Second, time.Second, time.Hour),
 		RetrySlack:    f.RetrySlack,
@@ -114,7 +117,7 @@
 		Name: c.name("name", f.Name), Domain: c.name("domain", f.Domain),
 		FleetAddress: c.address("fleetAddress", f.FleetAddress), Store: c.address("store", f.Store),
 		Secret:       c.secret("secret", f.Secret),
-		StoreTimeout: c.duration("storeTimeout", f.StoreTimeout, time.Second, 10*time.Millisecond, time.Minute),
+		StoreTimeout: c.duration("storeTimeout", f.StoreTimeout, defaultStoreTimeout, 10*time.Millisecond, time.Minute),
 	}
 	return s, c.err()
 }
--- a/internal/process/gateway/borrow.go
+++ b/internal/process/gateway/borrow.go
@@ -23,7 +23,11 @@
 // borrow reserves the cost of a request from another router's tokens.
 func (g *Gateway) borrow(ctx context.Context, q *request, organisation string, amount int64) bool {
 	voucher := g.Incarnation + "/" + q.ID
-	for i, name := range g.stock.Lenders(organisation) {
+	lenders := g.stock.Lenders(organisation)
+	if len(lenders) == 0 {
+		lenders = g.peers.routers.Live() // a router that has just started knows no lenders yet
+	}
+	for i, name := range lenders {
 		if i == maxLenders {
 			break
 		}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -137,6 +137,8 @@
 	maxHeaderBytes = 64 << 10
 	// holdingsTable holds the routers' holdings, a part for each router.
 	holdingsTable = "holdings"
+	// beatsSuffix keeps beats out of the part that settlements are queued in.
+	beatsSuffix = ".beats"
 	// budgetParts is the number of parts of the table of budgets: far more than the
 	// store writes at a time.
 	budgetParts = 256
@@ -158,7 +160,7 @@
 	g.metrics = newMetrics(g.Registry)
 	g.beats = &spender.Beater{
 		Marks: func(seal func(map[string]spender.BeatMark)) { g.stock.Marks(seal) }, Beaten: func() { g.stock.Beaten() },
-		Table: g.store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name, g.Name),
+		Table: g.store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name+beatsSuffix, g.Name),
 		Failed: g.beatsFailed, Back: g.beatsBack,
 	}
 	g.stock = &spender.Stocker{
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -104,7 +104,8 @@
 	if sinceBeat >= FullAfter {
 		return h.Held
 	}
-	return min(h.Held, h.Mark+int64(h.Slope*max((sinceBeat-slopeDelay).Seconds(), 0)))
+	x := max((sinceBeat - slopeDelay).Seconds(), 0)
+	return min(h.Held, h.Mark+int64(h.Slope*(x+x*x/slopeDoubling)))
 }
 
 // show adds what a holder has to show to the budget's sums, and takes over its
@@ -156,6 +157,10 @@
 	// slopeFactor is how much faster than recent demand a holder may spend while
 	// it can't renew its mark.
 	slopeFactor = 2
+	// slopeDoubling is the time after which a holder may have spent twice what the
+	// slope alone allows, in seconds: whoever is cut off for long may have taken the
+	// load of others.
+	slopeDoubling = 2
 	// slopeDelay is the time since the last beat from which a holder may spend
 	// beyond its mark. Most crashes and restarts of a process take less.
 	slopeDelay = 2 * time.Second
@@ -171,6 +176,12 @@
 	returnFactor = 1.5
 	// idleFactor is the same while at least half of what is left can still be drawn.
 	idleFactor = 4
+	// idleShare is the fraction of what is left that holders without demand hold
+	// together, for demand that begins during a cut; floorShare is what they may
+	// spend of it each second while they can't renew their marks, and half of it
+	// what they may promise unseen.
+	idleShare  = 0.1
+	floorShare = 0.01
 	// sharePart is the part of its share of what is left that a holder may keep; the
 	// rest stays with the platform for whoever needs it at the end.
 	sharePart = 0.5
@@ -204,13 +215,13 @@
 // StockSlope returns the slope of a holding's mark, in tokens a second; a holder
 // without demand gets the pace of a small one.
 func StockSlope(v StockView) float64 {
-	return max(slopeFactor*v.SpendRate, v.least(max(v.Limit-v.Spent, 0))/4)
+	return max(slopeFactor*v.SpendRate, v.part(floorShare))
 }
 
 // StockMark returns the mark of a holding after a commit, for a platform that
 // takes the given time to renew it.
 func StockMark(v StockView, held int64, renewal time.Duration) int64 {
-	floor := int64(v.least(max(v.Limit-v.Spent, 0)) / 4)
+	floor := int64(v.part(floorShare) / 2)
 	return min(held, v.Busy+max(int64(v.SpendRate*(markTime+renewalFactor*renewal).Seconds()), floor)+v.Need)
 }
 
@@ -229,7 +240,7 @@
 	if v.Rate+v.OthersRate > 0 {
 		share = evenShare*share + (1-evenShare)*v.Rate/(v.Rate+v.OthersRate)
 	}
-	stock := min(max(v.Rate*v.Horizon.Seconds(), v.least(pool)), float64(pool)*share*sharePart)
+	stock := min(max(v.Rate*v.Horizon.Seconds(), v.part(idleShare)), float64(pool)*share*sharePart)
 	return v.Busy + int64(stock) + v.Need
 }
 
@@ -245,9 +256,9 @@
 	return left+int64(givenBack*float64(promised)) >= amount
 }
 
-// least returns what a holder without demand should hold of a pool.
-func (v StockView) least(pool int64) float64 {
-	return evenShare * float64(pool) / float64(v.Others+1)
+// part returns a holder's even part of a fraction of what is left.
+func (v StockView) part(fraction float64) float64 {
+	return fraction * float64(max(v.Limit-v.Spent, 0)) / float64(v.Others+1)
 }
 
 // StockChange returns what to draw (positive) or return (negative) now.
--- a/internal/trial/soaker/callers.go
+++ b/internal/trial/soaker/callers.go
@@ -40,7 +40,10 @@
 		at.mu.Unlock()
 		begun := time.Now()
 		r := platformtest.Send(context.WithoutCancel(ctx), client, at.callerAddress, c)
-		s.evidence.Add(Seen{Call: c, Reply: r, Gateway: incarnation, Begun: begun, Ended: time.Now()})
+		ended := time.Now()
+		s.evidence.Add(Seen{
+			Call: c, Reply: r, Gateway: incarnation, Begun: begun, Ended: ended, Frozen: at.frozenDuring(begun, ended),
+		})
 		if r.Err != nil || r.Status >= 500 {
 			at = pick(random, gateways)
 		}
--- a/internal/trial/soaker/proxy.go
+++ b/internal/trial/soaker/proxy.go
@@ -119,10 +119,10 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		switch m := p.current(); {
-		case m == cut || m == modeSilent:
+		switch p.current() {
+		case cut, modeSilent:
 			n = 0
-		case m == modeDelay:
+		case modeDelay:
 			time.Sleep(heldBack)
 		}
 		if n > 0 {
--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -77,9 +77,8 @@
 
 // target is a stand-in behind a proxy.
 type target struct {
-	stand   *platformtest.Target
-	proxy   *proxy
-	leaving bool
+	stand *platformtest.Target
+	proxy *proxy
 }
 
 // Run plays the soak and returns what was found.
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -128,6 +128,8 @@
 			s.Reply.RetryAfter = value
 		case "runs":
 			runs[id] = make([]platformtest.Run, int(number))
+		case "frozen":
+			s.Frozen = true
 		case "begun":
 			s.Begun = at(number)
 		case "ended":
