The direct way to the store is waited for by the store's own pace; gone targets are forgotten

Change: a call is relayed after twice what the store takes now, 0.4 s at least; a relayed call that is answered first marks the direct way as lost. What a gateway saw of targets that are gone is dropped (test: TestGoneTargetsAreForgotten, fails without prune).

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -34,9 +34,13 @@
 	// that answers: the store may take a hundred times what is usual.
 	minTimeout = time.Second
 	maxTimeout = 3 * time.Second
-	// hedgeTime is how long a way may take at least before a call is relayed as well:
-	// a hundred times what the store takes usually.
-	hedgeTime = 400 * time.Millisecond
+	// minHedge is how long the direct way may take at least before a call is relayed
+	// as well: a hundred times what the store takes usually; hedgeFactor is the same
+	// in units of what the store takes now, pastWeight the weight that a slow answer
+	// keeps with each faster one.
+	minHedge    = 400 * time.Millisecond
+	hedgeFactor = 2
+	pastWeight  = 0.8
 	// aliveTime is how long after an answer a way is taken to be alive: longer than
 	// feeds are kept waiting.
 	aliveTime = 1500 * time.Millisecond
@@ -47,6 +51,9 @@
 	maxWait = 30 * time.Second
 )
 
+// errSilent is the error of a direct way that brings no answer in time.
+var errSilent = errors.Wrap(storer.ErrUnavailable, "the direct way is silent")
+
 // Backend is a store that can be relayed to.
 type Backend interface {
 	storer.Committer
@@ -108,6 +115,8 @@
 	mu      sync.Mutex // guards all below
 	failing bool
 	probeAt time.Time
+	// took is how long the store takes for a call, as of late.
+	took time.Duration
 	// answeredAt is when the store last answered any call directly.
 	answeredAt time.Time
 	// first counts the links that failed, and so tells which to try first.
@@ -146,6 +155,13 @@
 	return maxTimeout
 }
 
+// hedge returns how long to wait for the direct way alone.
+func (s *Store) hedge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(minHedge, hedgeFactor*s.took)
+}
+
 // silence returns how long ago the direct way last brought any answer.
 func (s *Store) silence() time.Duration {
 	s.mu.Lock()
@@ -153,13 +169,35 @@
 	return time.Since(s.answeredAt)
 }
 
+// timed notes how long the store took for a call, also when the answer came too
+// late to be used.
+func (s *Store) timed(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.took = max(took, time.Duration(pastWeight*float64(s.took)))
+}
+
+// relayedFirst notes that a relayed call was answered before the direct one,
+// which was begun earlier: the direct way is lost until a probe says otherwise.
+func (s *Store) relayedFirst(begun time.Time) {
+	s.mu.Lock()
+	lost := s.answeredAt.Before(begun) && !s.failing
+	if lost {
+		s.failing, s.probeAt = true, time.Now().Add(probeInterval)
+	}
+	s.mu.Unlock()
+	if lost && s.Lost != nil {
+		s.Lost(errSilent)
+	}
+}
+
 // relay makes one call, directly if that way works or is due for a try, and
 // through linked processes if the direct way did not lead to the store. wait is
 // how long the store may keep the call waiting.
 //
 // It answers a store that is slow for all: calls that are given up, or sent again
-// on other ways while the direct one still brings answers to other calls, only
-// add to the queue that they wait in.
+// on other ways sooner than the store can answer, only add to the queue that they
+// wait in.
 func relay[T any](ctx context.Context, s *Store, wait time.Duration, direct func(context.Context) (T, error),
 	call any, decode func(*framer.Relayed) (T, error)) (T, error) {
 	var zero T
@@ -169,49 +207,18 @@
 		uncertain = uncertain || errors.Is(err, storer.ErrUnavailable)
 		last = err
 	}
-	timeout := wait + s.patience()
+	timeout, begun := wait+s.patience(), time.Now()
 	use, probe := s.tryDirect()
 	if probe {
-		go func() {
-			// The same call may be made on both ways, so it serves as the probe.
-			probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-			defer cancel()
-			_, err := direct(probeCtx)
-			s.noteDirect(probeCtx, err)
-		}()
+		// The same call may be made on both ways, so it serves as the probe.
+		go askDirect(context.WithoutCancel(ctx), s, wait, timeout, direct)
 	}
 	if use {
-		type answer struct {
-			v   T
-			err error
-		}
-		answered := make(chan answer, 1)
-		go func() {
-			directCtx, cancel := context.WithTimeout(ctx, timeout)
-			defer cancel()
-			v, err := direct(directCtx)
-			s.noteDirect(ctx, err)
-			answered <- answer{v: v, err: err}
-		}()
-		ticker := time.NewTicker(hedgeTime)
-		defer ticker.Stop()
-		begun := time.Now()
-	waiting:
-		for {
-			select {
-			case a := <-answered:
-				if !lostWay(a.err) {
-					return a.v, a.err
-				}
-				note(a.err)
-				break waiting
-			case <-ticker.C:
-				if time.Since(begun) >= wait+hedgeTime && s.silence() > aliveTime && len(s.Links()) > 0 {
-					note(errors.Wrap(storer.ErrUnavailable, "the direct way is silent"))
-					break waiting
-				}
-			}
+		v, err := awaitDirect(ctx, s, wait, timeout, direct)
+		if !lostWay(err) {
+			return v, err
 		}
+		note(err)
 	}
 	for _, link := range s.ways() {
 		if ctx.Err() != nil {
@@ -227,6 +234,9 @@
 		}
 		v, err := decode(reply)
 		if !lostWay(err) {
+			if use {
+				s.relayedFirst(begun)
+			}
 			return v, err
 		}
 		note(err)
@@ -238,6 +248,46 @@
 	return zero, last
 }
 
+// askDirect makes a call directly and notes whether the way works.
+func askDirect[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error)) (T, error) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	begun := time.Now()
+	v, err := direct(callCtx)
+	if wait == 0 && !lostWay(err) {
+		s.timed(time.Since(begun))
+	}
+	s.noteDirect(ctx, err)
+	return v, err
+}
+
+// awaitDirect makes a call directly and waits for it as long as the store may
+// take, or for good if there is no other way.
+func awaitDirect[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error)) (T, error) {
+	type answer struct {
+		v   T
+		err error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		v, err := askDirect(ctx, s, wait, timeout, direct)
+		answered <- answer{v: v, err: err}
+	}()
+	timer := time.NewTimer(wait + s.hedge())
+	defer timer.Stop()
+	select {
+	case a := <-answered:
+		return a.v, a.err
+	case <-timer.C:
+	}
+	if len(s.Links()) == 0 {
+		a := <-answered
+		return a.v, a.err
+	}
+	var zero T
+	return zero, errSilent
+}
+
 // ways returns the links to try, beginning with the one that worked last.
 func (s *Store) ways() []*linker.Link {
 	links := s.Links()
--- a/internal/process/gateway/fleet.go
+++ b/internal/process/gateway/fleet.go
@@ -318,6 +318,17 @@
 	s.pace, s.samples = 0, 0
 }
 
+// prune forgets targets that are listed no more and that no request is at.
+func (f *fleet) prune(listed map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, s := range f.states {
+		if !listed[id] && s.short+s.long == 0 {
+			delete(f.states, id)
+		}
+	}
+}
+
 // running returns how many requests are at targets.
 func (f *fleet) running() int {
 	f.mu.Lock()
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -146,6 +146,7 @@
 			if row.Value == nil {
 				logger.TargetOut.Log(g.Log, "target", g.Words.KeyOf(row), "revision", row.Version, "stable", stable)
 				g.targets.Delete(g.Words.KeyOf(row), time.Now(), stable)
+				g.forgetTargets()
 				return
 			}
 			if e, ok := g.decodeTarget(row); ok {
@@ -166,6 +167,15 @@
 	})
 }
 
+// forgetTargets drops what was seen of targets that are gone.
+func (g *Gateway) forgetTargets() {
+	listed := make(map[string]bool)
+	for _, e := range g.targets.All() {
+		listed[e.ID] = true
+	}
+	g.fleet.prune(listed)
+}
+
 func (g *Gateway) putTarget(e registrar.Entry) {
 	changed, restarted := g.targets.Put(e)
 	if restarted {
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -104,8 +104,7 @@
 	if sinceBeat >= FullAfter {
 		return h.Held
 	}
-	x := max((sinceBeat - slopeDelay).Seconds(), 0)
-	return min(h.Held, h.Mark+int64(h.Slope*(x+x*x/slopeDoubling)))
+	return min(h.Held, h.Mark+int64(h.Slope*max((sinceBeat-slopeDelay).Seconds(), 0)))
 }
 
 // show adds what a holder has to show to the budget's sums, and takes over its
@@ -157,10 +156,6 @@
 	// slopeFactor is how much faster than recent demand a holder may spend while
 	// it can't renew its mark.
 	slopeFactor = 2
-	// slopeDoubling is the time after which a holder may have spent twice what the
-	// slope alone allows, in seconds: whoever is cut off for long may have taken the
-	// load of others.
-	slopeDoubling = 2
 	// slopeDelay is the time since the last beat from which a holder may spend
 	// beyond its mark. Most crashes and restarts of a process take less.
 	slopeDelay = 2 * time.Second
