Beats slow down with the fleet, marks last as long

Cause: docs/CAPACITY.md, row beats: 410 routers would make 2,050 writes a second of 800 allowed. Test: TestBeatsOfALargeFleetFitTheStore, 137 routers (fails with a fixed interval of 200 ms: 685 a second). Up to 40 routers nothing changes.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -211,7 +211,7 @@
 	use, probe := s.tryDirect()
 	if probe {
 		// The same call may be made on both ways, so it serves as the probe.
-		go askDirect(context.WithoutCancel(ctx), s, wait, timeout, direct)
+		go func() { _, _ = askDirect(context.WithoutCancel(ctx), s, wait, timeout, direct) }() // it notes the outcome
 	}
 	if use {
 		v, err := awaitDirect(ctx, s, wait, timeout, direct)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -161,7 +161,7 @@
 	g.beats = &spender.Beater{
 		Marks: func(seal func(map[string]spender.BeatMark)) { g.stock.Marks(seal) }, Beaten: func() { g.stock.Beaten() },
 		Table: g.store, Incarnation: g.Incarnation, Key: g.Words.RowKey("beats", g.Name+beatsSuffix, g.Name),
-		Failed: g.beatsFailed, Back: g.beatsBack,
+		Routers: g.fleet.routers, Failed: g.beatsFailed, Back: g.beatsBack,
 	}
 	g.stock = &spender.Stocker{
 		Table: g.store, Router: g.Name, Incarnation: g.Incarnation, BudgetKey: g.budgetKey,
--- a/internal/process/spender/beater.go
+++ b/internal/process/spender/beater.go
@@ -13,12 +13,20 @@
 )
 
 const (
-	// beatInterval is how often a router shows that it is in touch with the platform.
-	beatInterval = 200 * time.Millisecond
+	// minInterval is how often a router of a small fleet shows that it is in touch
+	// with the platform.
+	minInterval = 200 * time.Millisecond
+	// fleetBeats is how many beats a second a whole fleet makes: a quarter of the
+	// writes that the users' stores take (800 and more).
+	fleetBeats = 200
+	// beatSlack is how late a beat may be beside the time that a renewal takes.
+	beatSlack = 50 * time.Millisecond
 	// minBeatInterval bounds beats that are asked for.
 	minBeatInterval = 20 * time.Millisecond
 	// maxRenewal bounds the time for which a slow renewal raises marks.
 	maxRenewal = time.Second
+	// renewalFactor is how much of the time of a renewal a mark covers besides.
+	renewalFactor = 2
 	// unknownSilence stands for the silence of an incarnation that isn't known.
 	unknownSilence = 24 * time.Hour
 )
@@ -33,6 +41,8 @@
 	Table       storer.Committer
 	Incarnation string
 	Key         string
+	// Routers tells how many routers beat; nil means few.
+	Routers func() float64
 	// Marks hands the marks that a beat should carry to seal before anything more
 	// is promised; Beaten is called when a beat has taken effect.
 	Marks  func(seal func(marks map[string]BeatMark))
@@ -94,11 +104,20 @@
 	}
 }
 
-// Renewal returns how long a beat takes to take effect.
-func (b *Beater) Renewal() time.Duration {
+// interval returns the time between two beats that nothing asks for.
+func (b *Beater) interval() time.Duration {
+	if b.Routers == nil {
+		return minInterval
+	}
+	return max(minInterval, time.Duration(b.Routers()/fleetBeats*float64(time.Second)))
+}
+
+// Cover returns the time for which a mark should last: two intervals between
+// beats, one of which may be late, and renewals that take as long as the last.
+func (b *Beater) Cover() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.renewal
+	return 2*b.interval() + beatSlack + renewalFactor*b.renewal
 }
 
 // Last returns the last mark of an earlier incarnation of this router, and an
@@ -195,7 +214,7 @@
 // rest waits for the next beat.
 func (b *Beater) rest(ctx context.Context) {
 	pauser.Pause(ctx, minBeatInterval)
-	timer := time.NewTimer(beatInterval - minBeatInterval)
+	timer := time.NewTimer(b.interval() - minBeatInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -148,11 +148,6 @@
 
 // Stock policy figures.
 const (
-	// markTime is the spending that a mark covers beside running requests: two
-	// intervals between beats, one of which may be late.
-	markTime = 450 * time.Millisecond
-	// renewalFactor is how much of the time of a renewal a mark covers besides.
-	renewalFactor = 2
 	// slopeFactor is how much faster than recent demand a holder may spend while
 	// it can't renew its mark.
 	slopeFactor = 2
@@ -213,11 +208,11 @@
 	return max(slopeFactor*v.SpendRate, v.part(floorShare))
 }
 
-// StockMark returns the mark of a holding after a commit, for a platform that
-// takes the given time to renew it.
-func StockMark(v StockView, held int64, renewal time.Duration) int64 {
+// StockMark returns the mark of a holding that should last for a time beside what
+// running requests may cost.
+func StockMark(v StockView, held int64, cover time.Duration) int64 {
 	floor := int64(v.part(floorShare) / 2)
-	return min(held, v.Busy+max(int64(v.SpendRate*(markTime+renewalFactor*renewal).Seconds()), floor)+v.Need)
+	return min(held, v.Busy+max(int64(v.SpendRate*cover.Seconds()), floor)+v.Need)
 }
 
 // StockTarget returns what a holder should hold.
--- a/internal/process/spender/stock_fleet_test.go
+++ b/internal/process/spender/stock_fleet_test.go
@@ -211,3 +211,34 @@
 		}
 	}
 }
+
+// TestBeatsOfALargeFleetFitTheStore counts the beats of an idle fleet of 137
+// routers, a third of the target's nodes, over 20 seconds: they must take under
+// half of the 800 writes a second that the users' smallest store allows.
+func TestBeatsOfALargeFleetFitTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const routers = 137
+		var mu sync.Mutex
+		calls := 0
+		store := &narrowStore{Memory: storer.NewMemory(), bytesPerSecond: 1.25e6, write: 3 * time.Millisecond, parts: make(map[string]*sync.Mutex)}
+		store.calls = func(int) {
+			mu.Lock()
+			defer mu.Unlock()
+			calls++
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range routers {
+			name := fmt.Sprintf("router-%d", i)
+			b := &spender.Beater{
+				Table: store, Incarnation: name + "@1", Key: "beats/" + name, Routers: func() float64 { return routers },
+			}
+			go b.Run(ctx)
+		}
+		time.Sleep(20 * time.Second)
+		cancel()
+		mu.Lock()
+		defer mu.Unlock()
+		assert.Assert(t, calls < 400*20, "%d calls in 20 s", calls)
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/process/spender/stockcommit.go
+++ b/internal/process/spender/stockcommit.go
@@ -187,7 +187,7 @@
 	}
 	held := v.Held + change
 	p := &stockPlan{commit: a.commit + 1, settle: a.spent, need: a.need, ends: ends, held: Holding{
-		Incarnation: s.Incarnation, Held: held, Mark: StockMark(v, held, s.Beats.Renewal()), Slope: StockSlope(v),
+		Incarnation: s.Incarnation, Held: held, Mark: StockMark(v, held, s.Beats.Cover()), Slope: StockSlope(v),
 		Commit: a.commit + 1, Unshown: a.held.Unshown + a.spent, ShownBusy: a.held.ShownBusy, ShownRate: a.held.ShownRate,
 	}}
 	if !shared {
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -171,7 +171,7 @@
 		}
 		v := a.view(s.Horizon, now)
 		mark := BeatMark{
-			Commit: a.held.Commit, Mark: min(a.held.Held, a.spent+StockMark(v, v.Held, s.Beats.Renewal())), Slope: StockSlope(v),
+			Commit: a.held.Commit, Mark: min(a.held.Held, a.spent+StockMark(v, v.Held, s.Beats.Cover())), Slope: StockSlope(v),
 		}
 		if last := s.Beats.Credit(name).Beaten; last.Commit == mark.Commit {
 			mark.Mark, mark.Slope = max(mark.Mark, last.Mark), max(mark.Slope, last.Slope)
