--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -30,10 +30,12 @@
 	probeInterval = time.Second
 	// relaySlack is how much longer than the store's own time a relayed call may take.
 	relaySlack = 200 * time.Millisecond
-	// minTimeout bounds a call on a way that may be lost, maxTimeout one on a way
-	// that answers: the store may take a hundred times what is usual.
-	minTimeout = time.Second
-	maxTimeout = 3 * time.Second
+	// minTimeout and maxTimeout bound how long a call may take, timeoutFactor is the
+	// same in units of what the store takes now, which may be a hundred times what
+	// is usual.
+	minTimeout    = time.Second
+	maxTimeout    = 3 * time.Second
+	timeoutFactor = 3
 	// minHedge is how long the direct way may take at least before a call is relayed
 	// as well: a hundred times what the store takes usually; hedgeFactor is the same
 	// in units of what the store takes now, pastWeight the weight that a slow answer
@@ -41,9 +43,6 @@
 	minHedge    = 400 * time.Millisecond
 	hedgeFactor = 2
 	pastWeight  = 0.8
-	// aliveTime is how long after an answer a way is taken to be alive: longer than
-	// feeds are kept waiting.
-	aliveTime = 1500 * time.Millisecond
 	// maxRelays is how many processes a call is relayed to at most; the next call
 	// tries others.
 	maxRelays = 1
@@ -147,12 +146,11 @@
 		&framer.RelayWatch{Table: table, After: after, Wait: wait}, decodeFeed)
 }
 
-// patience returns how long a call may take, by whether the direct way answers.
+// patience returns how long a call may take.
 func (s *Store) patience() time.Duration {
-	if s.silence() > aliveTime {
-		return minTimeout
-	}
-	return maxTimeout
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(max(timeoutFactor*s.took, minTimeout), maxTimeout)
 }
 
 // hedge returns how long to wait for the direct way alone.
@@ -162,13 +160,6 @@
 	return max(minHedge, hedgeFactor*s.took)
 }
 
-// silence returns how long ago the direct way last brought any answer.
-func (s *Store) silence() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.answeredAt)
-}
-
 // timed notes how long the store took for a call, also when the answer came too
 // late to be used.
 func (s *Store) timed(took time.Duration) {
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -170,7 +170,7 @@
 	// together, for demand that begins during a cut; floorShare is what they may
 	// spend of it each second while they can't renew their marks, and half of it
 	// what they may promise unseen.
-	idleShare  = 0.1
+	idleShare  = 0.02
 	floorShare = 0.01
 	// sharePart is the part of its share of what is left that a holder may keep; the
 	// rest stays with the platform for whoever needs it at the end.
