--- /dev/null
+++ b/internal/connection/relayer/codec.go
@@ -0,0 +1,98 @@
+package relayer
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/process/storer"
+)
+
+func encodeCommit(c storer.Commit) *framer.RelayCommit {
+	m := &framer.RelayCommit{}
+	for _, cond := range c.Conditions {
+		m.Conditions = append(m.Conditions, framer.RowCondition(cond))
+	}
+	for _, w := range c.Writes {
+		m.Writes = append(m.Writes, framer.RowWrite{Key: w.Key, Value: w.Value, Delete: w.Value == nil})
+	}
+	return m
+}
+
+func decodeCommit(m *framer.RelayCommit) storer.Commit {
+	var c storer.Commit
+	for _, cond := range m.Conditions {
+		c.Conditions = append(c.Conditions, storer.Condition(cond))
+	}
+	for _, w := range m.Writes {
+		value := w.Value
+		if !w.Delete && value == nil {
+			value = []byte{}
+		}
+		c.Writes = append(c.Writes, storer.Write{Key: w.Key, Value: value})
+	}
+	return c
+}
+
+func encodeRow(r storer.Row) framer.RowValue {
+	return framer.RowValue{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Value == nil}
+}
+
+func decodeRow(r framer.RowValue) storer.Row {
+	value := r.Value
+	if r.Deleted {
+		value = nil
+	}
+	return storer.Row{Key: r.Key, Version: r.Version, Value: value}
+}
+
+func decodeFeed(r *framer.Relayed) (storer.Feed, error) {
+	feed := storer.Feed{Next: r.Version}
+	for _, row := range r.Rows {
+		feed.Rows = append(feed.Rows, decodeRow(row))
+	}
+	return feed, decodeError(r)
+}
+
+// encodeError maps an error of the store to the outcome on the wire.
+func encodeError(err error) *framer.Relayed {
+	r := &framer.Relayed{}
+	if err == nil {
+		return r
+	}
+	r.Error = err.Error()
+	var conflict *storer.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		r.Outcome, r.Clock = framer.RelayConflict, conflict.Clock
+		for _, row := range conflict.Rows {
+			r.Rows = append(r.Rows, encodeRow(row))
+		}
+	case errors.Is(err, storer.ErrHistoryLost):
+		r.Outcome = framer.RelayHistoryLost
+	case errors.Is(err, storer.ErrRefused):
+		r.Outcome = framer.RelayRefused
+	default:
+		r.Outcome = framer.RelayUnanswered
+	}
+	return r
+}
+
+// decodeError is the reverse of encodeError.
+func decodeError(r *framer.Relayed) error {
+	switch r.Outcome {
+	case framer.RelayOK:
+		return nil
+	case framer.RelayConflict:
+		conflict := &storer.ConflictError{Clock: r.Clock}
+		for _, row := range r.Rows {
+			conflict.Rows = append(conflict.Rows, decodeRow(row))
+		}
+		return conflict
+	case framer.RelayHistoryLost:
+		return storer.ErrHistoryLost
+	case framer.RelayRefused:
+		return errors.Wrap(storer.ErrRefused, r.Error)
+	default:
+		return errors.Wrap(storer.ErrUnavailable, r.Error)
+	}
+}
--- a/internal/process/spender/stockcommit.go
+++ b/internal/process/spender/stockcommit.go
@@ -158,10 +158,7 @@
 	if a.open != nil {
 		return a.open
 	}
-	if !a.known && !closing || urgent && a.need == 0 && !a.inherited {
-		return nil
-	}
-	if !a.changed && !closing && now.Sub(a.plannedAt) < idleInterval {
+	if !a.due(now, urgent, closing) {
 		return nil
 	}
 	v := a.view(s.Horizon, now)
@@ -169,39 +166,75 @@
 	if closing {
 		change = a.busy - v.Held
 	}
-	rate := int64(v.Rate)
-	ends := closing && v.Held+change == 0
 	if a.need > 0 && change == 0 && v.room() == 0 && !closing {
 		if now.Sub(a.seenAt) >= freshRow {
 			return nil // the check of the row has failed
 		}
-		a.need = 0 // nothing can be drawn now
-		a.round++
-	}
-	shared := change != 0 || a.need > 0 || (ends && a.heldVersion != 0) || now.Sub(a.shownAt) > showInterval &&
-		v.Shows(max(a.held.Unshown+a.spent, distance(a.busy, a.held.ShownBusy), distance(rate, a.held.ShownRate)))
-	if !shared && a.spent == 0 && !a.inherited || ends && a.heldVersion == 0 && a.spent == 0 {
-		a.changed = false
-		a.plannedAt = now
-		return nil
+		a.answerNeed(a.need) // nothing can be drawn now
+	}
+	p := &stockPlan{
+		commit: a.commit + 1, settle: a.spent, need: a.need, ends: closing && v.Held+change == 0,
+		held: s.nextHolding(a, v, change),
+	}
+	holds := a.heldVersion != 0 || a.spent > 0
+	switch {
+	case p.ends && !holds:
+	case p.ends || a.mustShow(v, change, now):
+		s.show(a, p, change, int64(v.Rate))
+		return p
+	case a.spent > 0 || a.inherited:
+		return p
+	}
+	a.changed, a.plannedAt = false, now
+	return nil
+}
+
+// due reports whether an account should be looked at.
+func (a *stockAccount) due(now time.Time, urgent, closing bool) bool {
+	switch {
+	case closing:
+		return true
+	case !a.known || (urgent && a.need == 0 && !a.inherited):
+		return false
+	default:
+		return a.changed || now.Sub(a.plannedAt) >= idleInterval
 	}
+}
+
+// mustShow reports whether the budget's row has to change.
+func (a *stockAccount) mustShow(v StockView, change int64, now time.Time) bool {
+	if change != 0 || a.need > 0 {
+		return true
+	}
+	unshown := max(a.held.Unshown+a.spent, distance(a.busy, a.held.ShownBusy), distance(int64(v.Rate), a.held.ShownRate))
+	return now.Sub(a.shownAt) > showInterval && v.Shows(unshown)
+}
+
+// nextHolding returns the holding after a commit that leaves the budget's row alone.
+func (s *Stocker) nextHolding(a *stockAccount, v StockView, change int64) Holding {
 	held := v.Held + change
-	p := &stockPlan{commit: a.commit + 1, settle: a.spent, need: a.need, ends: ends, held: Holding{
+	return Holding{
 		Incarnation: s.Incarnation, Held: held, Mark: StockMark(v, held, s.Beats.Cover()), Slope: StockSlope(v),
 		Commit: a.commit + 1, Unshown: a.held.Unshown + a.spent, ShownBusy: a.held.ShownBusy, ShownRate: a.held.ShownRate,
-	}}
-	if !shared {
-		return p
 	}
-	before := a.held
+}
+
+// show adds the budget's new row to a plan, with all that the holder has to show.
+func (s *Stocker) show(a *stockAccount, p *stockPlan, change, rate int64) {
+	before, spare := a.held, p.held.Held-a.busy
 	before.Unshown = p.held.Unshown
 	p.held.Unshown, p.held.ShownBusy, p.held.ShownRate = 0, a.busy, rate
-	if ends {
+	if p.ends {
 		p.held = Holding{}
 	}
-	b := a.budget.show(before, p.held, change, a.heldVersion != 0, !ends).withLender(s.Router, held-a.busy)
+	b := a.budget.show(before, p.held, change, a.heldVersion != 0, !p.ends).withLender(s.Router, spare)
 	p.budget = &b
-	return p
+}
+
+// answerNeed notes that claims of an amount have got all that there is for them.
+func (a *stockAccount) answerNeed(amount int64) {
+	a.need = max(a.need-amount, 0)
+	a.round++
 }
 
 func distance(a, b int64) int64 {
@@ -217,8 +250,7 @@
 		a.heldVersion = 0
 	}
 	a.spent -= p.settle
-	a.need = max(a.need-p.need, 0)
-	a.round++
+	a.answerNeed(p.need)
 	if p.budget != nil {
 		a.budget, a.budgetVersion, a.seenAt, a.shownAt = *p.budget, version, now, now
 	}
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -184,8 +184,7 @@
 			marks[name] = mark
 		}
 		if !a.unheld(a.need) {
-			a.need = 0 // the marks cover it
-			a.round++
+			a.answerNeed(a.need) // the marks cover it
 		}
 	}
 	seal(marks)
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -56,11 +56,36 @@
 
 // TestSoak plays seeds of random faults over separate processes.
 func TestSoak(t *testing.T) {
+	var seeds []uint64
+	for i := range *soakSeeds {
+		seeds = append(seeds, *soakFirst+uint64(i))
+	}
+	playAll(t, seeds, *soakJobs)
+}
+
+// TestRegressions plays the seeds that once failed.
+func TestRegressions(t *testing.T) {
+	const jobs = 3
+	data, err := os.ReadFile("testdata/regressions.txt")
+	assert.NilError(t, err)
+	var seeds []uint64
+	for _, line := range strings.Split(string(data), "\n")[1:] {
+		if first, _, ok := strings.Cut(line, " "); ok {
+			seed, err := strconv.ParseUint(first, 10, 64)
+			assert.NilError(t, err)
+			seeds = append(seeds, seed)
+		}
+	}
+	playAll(t, seeds, jobs)
+}
+
+// playAll plays seeds, some at a time, and reports every finding.
+func playAll(t *testing.T, seeds []uint64, jobs int) {
+	t.Helper()
 	binary := build(t)
-	slots := make(chan struct{}, *soakJobs)
+	slots := make(chan struct{}, jobs)
 	t.Run("seeds", func(t *testing.T) {
-		for i := range *soakSeeds {
-			seed := *soakFirst + uint64(i)
+		for _, seed := range seeds {
 			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
 				slots <- struct{}{}
