--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -220,10 +220,10 @@
 	}
 	g.stock.Demand(name, amount, q.begun)
 	waitUntil := q.begun.Add(min(drawWait, q.deadline.Sub(q.begun)/3))
-	claim := &spender.Claim{Organisation: name, Limit: q.organisation.Prepaid, Amount: amount}
-	err := g.stock.Reserve(claim)
-	for errors.Is(err, spender.ErrElsewhere) && claim.Answers < drawAnswers && g.waitForDraw(ctx, waitUntil) {
-		err = g.stock.Reserve(claim)
+	reservation := &spender.Reservation{Organisation: name, Limit: q.organisation.Prepaid, Amount: amount}
+	err := g.stock.Reserve(reservation)
+	for errors.Is(err, spender.ErrElsewhere) && reservation.Answers < drawAnswers && g.waitForDraw(ctx, waitUntil) {
+		err = g.stock.Reserve(reservation)
 	}
 	if err == nil {
 		q.reserved = amount
--- a/internal/process/spender/stock.go
+++ b/internal/process/spender/stock.go
@@ -304,7 +304,7 @@
 	// spent is settled and not yet committed; busy is promised to running requests.
 	spent int64
 	busy  int64
-	// need sums up the claims that could not be covered, until a commit or a beat
+	// need sums up the reservations that could not be covered, until a commit or a beat
 	// answers them; round numbers these times.
 	need  int64
 	round uint64
--- a/internal/process/spender/stock_fleet_test.go
+++ b/internal/process/spender/stock_fleet_test.go
@@ -193,9 +193,9 @@
 // ask reserves and settles one request as a gateway does.
 func ask(s *spender.Stocker, organisation string, limit, amount int64) bool {
 	s.Demand(organisation, amount, time.Now())
-	claim := &spender.Claim{Organisation: organisation, Limit: limit, Amount: amount}
+	r := &spender.Reservation{Organisation: organisation, Limit: limit, Amount: amount}
 	for wait := time.After(time.Second); ; {
-		if s.Reserve(claim) == nil {
+		if s.Reserve(r) == nil {
 			time.Sleep(time.Second)
 			s.Settle(organisation, amount, amount*9/10, time.Now())
 			return true
--- a/internal/process/spender/stock_sim_test.go
+++ b/internal/process/spender/stock_sim_test.go
@@ -173,8 +173,8 @@
 		return
 	}
 	stock.Demand("alpha", amount, time.Now())
-	claim := &spender.Claim{Organisation: "alpha", Limit: n.limit, Amount: amount}
-	err := stock.Reserve(claim)
+	r := &spender.Reservation{Organisation: "alpha", Limit: n.limit, Amount: amount}
+	err := stock.Reserve(r)
 	for range 4 {
 		if !errors.Is(err, spender.ErrElsewhere) {
 			break
@@ -187,7 +187,7 @@
 		case <-done:
 		case <-time.After(200 * time.Millisecond):
 		}
-		err = stock.Reserve(claim)
+		err = stock.Reserve(r)
 	}
 	var lender *spender.Stocker
 	voucher := fmt.Sprintf("%s/%d/%d", n.name, amount, time.Now().UnixNano())
--- a/internal/process/spender/stockcommit.go
+++ b/internal/process/spender/stockcommit.go
@@ -231,7 +231,7 @@
 	p.budget = &b
 }
 
-// answerNeed notes that claims of an amount have got all that there is for them.
+// answerNeed notes that reservations of an amount have got all that there is for them.
 func (a *stockAccount) answerNeed(amount int64) {
 	a.need = max(a.need-amount, 0)
 	a.round++
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -101,51 +101,51 @@
 	closing bool
 }
 
-// Claim is a request's wish for tokens.
-type Claim struct {
+// Reservation is what a request asks to have set aside.
+type Reservation struct {
 	Organisation string
 	// Limit is the budget by the newest configuration, Amount the most that the
 	// request may cost, in tokens.
 	Limit  int64
 	Amount int64
-	// Answers counts the commits and beats that were made for the claim and did
+	// Answers counts the commits and beats that were made for it and did
 	// not bring enough.
 	Answers int
-	// counted is set while the account's need of the round includes the claim.
+	// counted is set while the account's need of the round includes it.
 	counted bool
 	round   uint64
 }
 
 // Reserve sets aside the most that a request may cost.
 //
-// It returns ErrElsewhere if more tokens must be drawn first; the same claim may
-// then be tried again after a Wait.
-func (s *Stocker) Reserve(c *Claim) error {
+// It returns ErrElsewhere if more tokens must be drawn first; the same
+// reservation may then be tried again after a Wait.
+func (s *Stocker) Reserve(r *Reservation) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := s.account(c.Organisation)
-	a.limit, a.known = c.Limit, true
-	if free := s.free(c.Organisation, a); free >= c.Amount {
-		a.busy += c.Amount
-		if free < 2*c.Amount {
+	a := s.account(r.Organisation)
+	a.limit, a.known = r.Limit, true
+	if free := s.free(r.Organisation, a); free >= r.Amount {
+		a.busy += r.Amount
+		if free < 2*r.Amount {
 			s.Beats.Wake() // so that the next request need not wait for a beat
 		}
 		return nil
 	}
 	now := time.Now()
 	v := a.view(s.Horizon, now)
-	if v.Spent+c.Amount > v.Limit || (now.Sub(a.seenAt) < freshRow && !v.Covers(c.Amount)) {
+	if v.Spent+r.Amount > v.Limit || (now.Sub(a.seenAt) < freshRow && !v.Covers(r.Amount)) {
 		return ErrExhausted
 	}
-	if c.counted && c.round != a.round {
-		c.Answers++
+	if r.counted && r.round != a.round {
+		r.Answers++
 	}
-	if !c.counted || c.round != a.round {
-		a.need += c.Amount
-		c.counted, c.round = true, a.round
+	if !r.counted || r.round != a.round {
+		a.need += r.Amount
+		r.counted, r.round = true, a.round
 	}
 	a.changed = true
-	if a.unheld(c.Amount) {
+	if a.unheld(r.Amount) {
 		s.wake()
 	} else {
 		s.Beats.Wake()
