--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -234,7 +234,7 @@
 	}
 	balance := g.stock.Balance(name, time.Now())
 	logger.BudgetRefused.Log(g.Log, "request", q.ID, "organisation", name, "amount", amount, "limit", balance.Limit,
-		"spent", balance.Spent, "held", balance.Held, "free", balance.Free, "elsewhere", balance.Elsewhere, "lenders", balance.Lenders, "rowAge", balance.Age, "error", err)
+		"spent", balance.Spent, "held", balance.Held, "free", balance.Free, "elsewhere", balance.Elsewhere, "lenders", balance.Lenders, "rowAge", balance.Age, "silence", balance.Silence, "error", err)
 	if errors.Is(err, spender.ErrExhausted) && g.feedAge(g.Words.ConfigurationTable) < freshConfiguration {
 		return &refusal{status: http.StatusPaymentRequired, reason: "budget spent"}
 	}
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -268,8 +268,10 @@
 	Elsewhere int64
 	// Lenders names routers that could spare tokens, and how many.
 	Lenders string
-	// Age is how old the platform's row is.
-	Age time.Duration
+	// Age is how old the platform's row is, Silence how long ago the last beat that
+	// took effect was made up.
+	Age     time.Duration
+	Silence time.Duration
 }
 
 // Balance returns the state of an account.
@@ -280,7 +282,7 @@
 	v := a.view(s.Horizon, now)
 	return Balance{
 		Limit: a.limit, Spent: v.Spent, Held: a.held.Held, Free: s.free(organisation, a), Elsewhere: v.OthersHeld,
-		Lenders: a.budget.describe(s.Router), Age: now.Sub(a.seenAt),
+		Lenders: a.budget.describe(s.Router), Age: now.Sub(a.seenAt), Silence: s.Beats.Credit(organisation).BeatenAge,
 	}
 }
 
