A second SIGTERM does not end a process that finishes its requests

Traced: gateway-2 began to leave at 55.55 (event 302) and was told to stop again at 56.23 while it finished; the handler gave the signal back to the runtime after the first one. Change: only a second interrupt ends a process at once.

--- a/cmd/egretroute/main.go
+++ b/cmd/egretroute/main.go
@@ -37,7 +37,9 @@
 	commander.Register(&demoCommand{}, "trials")
 	commander.Register(&trialCommand{}, "trials")
 	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop) // a second signal ends the process at once
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// A second interrupt ends the process at once; a second request to stop must not
+	// cut what the first one lets finish.
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	os.Exit(int(commander.Execute(ctx)))
 }
--- a/internal/trial/soaker/program.go
+++ b/internal/trial/soaker/program.go
@@ -44,7 +44,7 @@
 
 // youngProcess is how long a process may take until it handles signals; one that
 // is told to stop before serves nobody yet.
-const youngProcess = time.Second
+const youngProcess = 100 * time.Millisecond
 
 // start begins a new incarnation, unless one runs.
 func (p *program) start() error {
