A router's holdings are named by the key of none of them

Reading as a newcomer: Stocker had HoldingList beside HoldingKey, and the gateway cut a slash off a key whose form only platform/ should know. Same calls as before; the tests of the stock and of platform/ pass.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -21,7 +21,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,8 +134,6 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 64 << 10
-	// holdingsTable holds the routers' holdings, a part for each router.
-	holdingsTable = "holdings"
 	// beatsSuffix keeps beats out of the part that settlements are queued in.
 	beatsSuffix = ".beats"
 	// budgetParts is the number of parts of the table of budgets: far more than the
@@ -165,9 +162,8 @@
 	}
 	g.stock = &spender.Stocker{
 		Table: g.store, Router: g.Name, Incarnation: g.Incarnation, BudgetKey: g.budgetKey,
-		HoldingKey:  func(organisation string) string { return g.Words.RowKey(holdingsTable, g.Name, organisation) },
-		HoldingList: strings.TrimSuffix(g.Words.RowKey(holdingsTable, g.Name, ""), "/"),
-		Horizon:     g.Limits.StockHorizon, Interval: stockInterval, Committed: g.stockCommitted,
+		HoldingKey: func(organisation string) string { return g.Words.RowKey("holdings", g.Name, organisation) },
+		Horizon:    g.Limits.StockHorizon, Interval: stockInterval, Committed: g.stockCommitted,
 		Unreadable: g.stockUnreadable, Recovered: g.stockRecovered, Beats: g.beats,
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/process/spender/stock_fleet_test.go
+++ b/internal/process/spender/stock_fleet_test.go
@@ -71,8 +71,8 @@
 	return m
 }
 
-func (s *narrowStore) List(ctx context.Context, part string) (storer.Feed, error) {
-	rows, err := s.Scan(ctx, part+"/", "", 1000)
+func (s *narrowStore) List(ctx context.Context, prefix string) (storer.Feed, error) {
+	rows, err := s.Scan(ctx, prefix, "", 1000)
 	return storer.Feed{Rows: rows}, err
 }
 
@@ -181,9 +181,8 @@
 	}
 	s = &spender.Stocker{
 		Table: store, Router: name, Incarnation: incarnation, Beats: b, Horizon: 10 * time.Second, Interval: time.Second,
-		HoldingList: "holdings/" + name,
-		BudgetKey:   func(organisation string) string { return "budgets/" + organisation },
-		HoldingKey:  func(organisation string) string { return "holdings/" + name + "/" + organisation },
+		BudgetKey:  func(organisation string) string { return "budgets/" + organisation },
+		HoldingKey: func(organisation string) string { return "holdings/" + name + "/" + organisation },
 	}
 	go b.Run(ctx)
 	go s.Run(ctx)
--- a/internal/process/spender/stock_sim_test.go
+++ b/internal/process/spender/stock_sim_test.go
@@ -64,7 +64,7 @@
 }
 
 // List implements spender.StockTable.
-func (s *faultyStore) List(ctx context.Context, part string) (storer.Feed, error) {
+func (s *faultyStore) List(ctx context.Context, prefix string) (storer.Feed, error) {
 	s.mu.Lock()
 	down := s.down
 	s.mu.Unlock()
@@ -72,7 +72,7 @@
 		hang(ctx)
 		return storer.Feed{}, errors.Wrap(storer.ErrUnavailable, "down")
 	}
-	rows, err := s.Scan(ctx, part+"/", "", 1000)
+	rows, err := s.Scan(ctx, prefix, "", 1000)
 	return storer.Feed{Rows: rows}, err
 }
 
@@ -118,7 +118,7 @@
 	}
 	s = &spender.Stocker{
 		Table: n.store, Router: n.name, Incarnation: incarnation, Beats: b, Horizon: 10 * time.Second,
-		Interval: time.Second, HoldingList: "holdings/" + n.name,
+		Interval:   time.Second,
 		BudgetKey:  func(organisation string) string { return "budgets/" + organisation },
 		HoldingKey: func(organisation string) string { return "holdings/" + n.name + "/" + organisation },
 	}
--- a/internal/process/spender/stockcommit.go
+++ b/internal/process/spender/stockcommit.go
@@ -358,7 +358,7 @@
 	if done {
 		return
 	}
-	feed, err := s.Table.List(ctx, s.HoldingList)
+	feed, err := s.Table.List(ctx, s.HoldingKey(""))
 	if err != nil {
 		return // tried again with the next flush; the beats report an absent platform
 	}
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -52,8 +52,8 @@
 // StockTable is what a Stocker needs of the platform's table.
 type StockTable interface {
 	storer.Committer
-	// List returns all rows of a part of a table.
-	List(ctx context.Context, part string) (storer.Feed, error)
+	// List returns all rows whose keys begin with the name of a table and a part.
+	List(ctx context.Context, prefix string) (storer.Feed, error)
 }
 
 // Stocker holds one incarnation's stocks of all prepaid budgets and keeps them
@@ -67,11 +67,9 @@
 	Router      string
 	Incarnation string
 	// BudgetKey and HoldingKey return the keys of an organisation's budget and of
-	// this router's holding of it; HoldingList names all holdings of this router
-	// for a List, and HoldingKey("") is their common prefix.
-	BudgetKey   func(organisation string) string
-	HoldingKey  func(organisation string) string
-	HoldingList string
+	// this router's holding of it; HoldingKey("") names all holdings of this router.
+	BudgetKey  func(organisation string) string
+	HoldingKey func(organisation string) string
 	// Beats tells how long ago this and earlier incarnations were in touch.
 	Beats *Beater
 	// Horizon is the time for which stocks should last.
--- a/internal/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -118,7 +118,7 @@
 
 // Watcher reads a whole table and follows its changes.
 type Watcher interface {
-	// List returns all rows of a table, or of one part of it (TABLE/PART), and the
+	// List returns all rows of a table, or of one part of it (TABLE/PART/), and the
 	// version that they are as of.
 	List(ctx context.Context, table string) (Feed, error)
 	// Watch returns the changes after a version as soon as there are any, or an
