One linked process a relayed call, without a loop over one

Reading as a newcomer: maxRelays had become 1 while relay still looped over a turned copy of all links and kept account of several failures. Same calls in the same order; relayer's tests pass, three times with the race detector.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -40,9 +40,6 @@
 	minHedge    = 400 * time.Millisecond
 	hedgeFactor = 2
 	pastWeight  = 0.8
-	// maxRelays is how many processes a call is relayed to at most; the next call
-	// tries others.
-	maxRelays = 1
 	// maxWait bounds the wait that a linked process may ask for.
 	maxWait = 30 * time.Second
 )
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -33,7 +33,7 @@
 	took time.Duration
 	// answeredAt is when the store last answered any call directly.
 	answeredAt time.Time
-	// first counts the links that failed, and so tells which to try first.
+	// first counts the links that failed, and so tells which to try.
 	first int
 }
 
@@ -98,7 +98,7 @@
 }
 
 // relay makes one call, directly if that way works or is due for a try, and
-// through linked processes if the direct way did not lead to the store. wait is
+// through a linked process if the direct way did not lead to the store. wait is
 // how long the store may keep the call waiting.
 //
 // It answers a store that is slow for all: calls that are given up, or sent again
@@ -108,11 +108,6 @@
 	call any, decode func(*framer.Relayed) (T, error)) (T, error) {
 	var zero T
 	last := errors.Wrap(storer.ErrRefused, "the direct way fails")
-	uncertain := false
-	note := func(err error) {
-		uncertain = uncertain || errors.Is(err, storer.ErrUnavailable)
-		last = err
-	}
 	timeout, begun := wait+s.patience(), time.Now()
 	use, probe := s.tryDirect()
 	if probe {
@@ -124,34 +119,37 @@
 		if !lostWay(err) {
 			return v, err
 		}
-		note(err)
+		last = err
 	}
-	for _, link := range s.ways() {
-		if ctx.Err() != nil {
-			break
-		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout+relaySlack)
-		reply, err := linker.Call[*framer.Relayed](callCtx, link, call)
-		cancel()
-		if err != nil {
-			note(errors.Wrap(storer.ErrUnavailable, err.Error()))
-			s.turn()
-			continue
-		}
-		v, err := decode(reply)
-		if !lostWay(err) {
-			if use {
-				s.relayedFirst(begun)
-			}
-			return v, err
-		}
-		note(err)
+	link := s.way()
+	if link == nil || ctx.Err() != nil {
+		return zero, last
+	}
+	v, err := askLink(ctx, link, timeout+relaySlack, call, decode)
+	if lostWay(err) {
 		s.turn()
+		if errors.Is(last, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUnavailable) {
+			err = errors.Wrap(storer.ErrUnavailable, err.Error()) // the direct call may have taken effect
+		}
+		return zero, err
 	}
-	if uncertain && !errors.Is(last, storer.ErrUnavailable) {
-		last = errors.Wrap(storer.ErrUnavailable, last.Error())
+	if use {
+		s.relayedFirst(begun)
 	}
-	return zero, last
+	return v, err
+}
+
+// askLink makes a call by way of another process.
+func askLink[T any](ctx context.Context, link *linker.Link, timeout time.Duration, call any,
+	decode func(*framer.Relayed) (T, error)) (T, error) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := linker.Call[*framer.Relayed](callCtx, link, call)
+	if err != nil {
+		var zero T
+		return zero, errors.Wrap(storer.ErrUnavailable, err.Error())
+	}
+	return decode(reply)
 }
 
 // askDirect makes a call directly and notes whether the way works.
@@ -194,20 +192,18 @@
 	return zero, errSilent
 }
 
-// ways returns the links to try, beginning with the one that worked last.
-func (s *Store) ways() []*linker.Link {
+// way returns the link to try, the one that worked last, or nil if there is none.
+func (s *Store) way() *linker.Link {
 	links := s.Links()
 	if len(links) == 0 {
 		return nil
 	}
 	s.mu.Lock()
-	first := s.first % len(links)
-	s.mu.Unlock()
-	turned := append(append([]*linker.Link{}, links[first:]...), links[:first]...)
-	return turned[:min(len(turned), maxRelays)]
+	defer s.mu.Unlock()
+	return links[s.first%len(links)]
 }
 
-// turn makes the next link the first to try.
+// turn makes the next link the one to try.
 func (s *Store) turn() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
