A commit that probes the direct way is never reported as refused

Found by reading: while the direct way fails, each second a call is also made directly as a probe. If the linked process refused it, the caller was told that nothing was written, dropped its plan and went on with the holding as before, while the probe could take effect: tokens that the plan returned could be promised again. Ruled out: the stock's own handling, which keeps plans that are unanswered. Test: TestProbedCommitMayTakeEffect, refused before, unanswered after.

--- a/internal/connection/relayer/relayer_test.go
+++ b/internal/connection/relayer/relayer_test.go
@@ -64,7 +64,7 @@
 }
 
 // companion serves relayed calls over a real link.
-func companion(t *testing.T, b backend) *linker.Link {
+func companion(t *testing.T, b relayer.Backend) *linker.Link {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -140,3 +140,37 @@
 	_, err := s.CommitAt(context.Background(), storer.Commit{})
 	assert.ErrorIs(t, err, storer.ErrUnavailable)
 }
+
+// refusing is a backend that turns every commit away.
+type refusing struct{ backend }
+
+// CommitAt implements storer.Committer.
+func (refusing) CommitAt(context.Context, storer.Commit) (storer.Receipt, error) {
+	return storer.Receipt{}, storer.ErrRefused
+}
+
+// TestProbedCommitMayTakeEffect has a companion refuse a commit that probes the
+// direct way, which works again: the commit takes effect, so it must not be
+// reported as refused.
+func TestProbedCommitMayTakeEffect(t *testing.T) {
+	memory := storer.NewMemory()
+	direct := newBackend(memory)
+	link := companion(t, refusing{newBackend(memory)})
+	s := &relayer.Store{Direct: direct, Links: func() []*linker.Link { return []*linker.Link{link} }}
+	direct.cut.Store(true)
+	_, err := s.CommitAt(context.Background(), storer.Commit{})
+	assert.ErrorIs(t, err, storer.ErrUnavailable)
+	direct.cut.Store(false)
+	time.Sleep(1100 * time.Millisecond)
+	var c storer.Commit
+	c.Update("t//a", 0, []byte("1"))
+	_, err = s.CommitAt(context.Background(), c)
+	assert.ErrorIs(t, err, storer.ErrUnavailable)
+	for range 100 { // the probe runs beside the call
+		if memory.Commits() > 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("the probe did not take effect")
+}
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -111,7 +111,9 @@
 	timeout, begun := wait+s.patience(), time.Now()
 	use, probe := s.tryDirect()
 	if probe {
-		// The same call may be made on both ways, so it serves as the probe.
+		// The same call may be made on both ways, so it serves as the probe; it may
+		// take effect whatever the other way says.
+		last = errors.Wrap(storer.ErrUnavailable, "the direct way is only probed")
 		go func() { _, _ = askDirect(context.WithoutCancel(ctx), s, wait, timeout, direct) }() // it notes the outcome
 	}
 	if use {
