Soak: plainer settings, one name for an incarnation, no unused duration

Reading as a newcomer: settings were patched up with a replacement of quotes, faults took a duration that none used, callers read another's lock.

--- a/internal/trial/soaker/callers.go
+++ b/internal/trial/soaker/callers.go
@@ -35,9 +35,7 @@
 	client := &http.Client{Transport: transport}
 	for n := 0; ctx.Err() == nil; n++ {
 		c := s.draw(random, fmt.Sprintf("c%d-%d", number, n))
-		at.mu.Lock()
-		incarnation := fmt.Sprintf("%s@%d", at.name, at.starts)
-		at.mu.Unlock()
+		incarnation := at.incarnation()
 		begun := time.Now()
 		r := platformtest.Send(context.WithoutCancel(ctx), client, at.callerAddress, c)
 		ended := time.Now()
@@ -47,7 +45,7 @@
 		if r.Err != nil || r.Status >= 500 {
 			at = pick(random, gateways)
 		}
-		wait := rand0(random, maxThink)
+		wait := randomTime(random, maxThink)
 		if seconds, err := strconv.ParseFloat(r.RetryAfter, 64); err == nil {
 			wait = min(time.Duration(seconds*float64(time.Second)), maxBackoff)
 		}
--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -26,33 +26,33 @@
 // fault is something that goes wrong for a while; begin returns what ends it.
 type fault struct {
 	name  string
-	begin func(s *Soak, random *rand.Rand, d time.Duration) (end func())
+	begin func(s *Soak, random *rand.Rand) (end func())
 }
 
 // faults are those that a soak draws from.
 var faults = []fault{
-	{"kill", func(s *Soak, random *rand.Rand, _ time.Duration) func() { return s.killed(pick(random, s.programs)) }},
-	{"kill all", func(s *Soak, _ *rand.Rand, _ time.Duration) func() { return s.killed(s.programs...) }},
-	{"stop", func(s *Soak, random *rand.Rand, _ time.Duration) func() {
+	{"kill", func(s *Soak, random *rand.Rand) func() { return s.killed(pick(random, s.programs)) }},
+	{"kill all", func(s *Soak, _ *rand.Rand) func() { return s.killed(s.programs...) }},
+	{"stop", func(s *Soak, random *rand.Rand) func() {
 		p := pick(random, s.programs)
 		p.stop()
 		return func() { s.restart(p) }
 	}},
-	{"freeze", func(s *Soak, random *rand.Rand, _ time.Duration) func() {
+	{"freeze", func(s *Soak, random *rand.Rand) func() {
 		p := pick(random, s.programs)
 		p.freeze()
 		return p.thaw
 	}},
-	{"reload", func(s *Soak, random *rand.Rand, _ time.Duration) func() {
+	{"reload", func(s *Soak, random *rand.Rand) func() {
 		if err := pick(random, s.programs).reload(random.IntN(2) == 0); err != nil {
 			s.note("reload failed", err.Error())
 		}
 		return nil
 	}},
-	{"store of one", func(s *Soak, random *rand.Rand, _ time.Duration) func() {
+	{"store of one", func(s *Soak, random *rand.Rand) func() {
 		return misbehave(pick(random, s.programs).store, random)
 	}},
-	{"store of all gateways", func(s *Soak, random *rand.Rand, _ time.Duration) func() {
+	{"store of all gateways", func(s *Soak, random *rand.Rand) func() {
 		var ends []func()
 		for _, p := range s.programs {
 			if p.kind == "gateway" {
@@ -65,23 +65,23 @@
 			}
 		}
 	}},
-	{"store", func(s *Soak, random *rand.Rand, _ time.Duration) func() { return s.spoilStore(random) }},
-	{"way to a target", func(s *Soak, random *rand.Rand, _ time.Duration) func() {
+	{"store", func(s *Soak, random *rand.Rand) func() { return s.spoilStore(random) }},
+	{"way to a target", func(s *Soak, random *rand.Rand) func() {
 		return misbehave(pick(random, s.targets).proxy, random)
 	}},
-	{"target", func(s *Soak, random *rand.Rand, _ time.Duration) func() {
+	{"target", func(s *Soak, random *rand.Rand) func() {
 		t := pick(random, s.targets).stand
 		t.SetBehaviour([]platformtest.Behaviour{
 			{Full: true}, {Fail: true}, {Events: 8, BreakAfter: 2}, {Silent: true}, {Unsigned: true}, {Events: 8, Pace: 200 * time.Millisecond},
 		}[random.IntN(6)])
 		return func() { t.SetBehaviour(healthy) }
 	}},
-	{"target leaves", func(s *Soak, random *rand.Rand, _ time.Duration) func() {
+	{"target leaves", func(s *Soak, random *rand.Rand) func() {
 		t := pick(random, s.targets)
 		s.enter(t, "draining")
 		return func() { s.enter(t, "ready") }
 	}},
-	{"configuration", func(s *Soak, random *rand.Rand, _ time.Duration) func() { s.reconfigure(random); return nil }},
+	{"configuration", func(s *Soak, random *rand.Rand) func() { s.reconfigure(random); return nil }},
 }
 
 func pick[T any](random *rand.Rand, from []T) T {
@@ -155,22 +155,23 @@
 	defer running.Wait()
 	for end := time.Now().Add(s.Faulty); time.Now().Before(end) && ctx.Err() == nil; {
 		f := pick(s.random, faults)
-		d := minFault + rand0(s.random, maxFault-minFault)
+		d := minFault + randomTime(s.random, maxFault-minFault)
 		random := rand.New(rand.NewPCG(s.Seed, s.random.Uint64()))
 		s.note("begin "+f.name, d.String())
 		running.Go(func() {
-			finish := f.begin(s, random, d)
+			finish := f.begin(s, random)
 			pause(ctx, d)
 			if finish != nil {
 				finish()
 			}
 			s.note("end "+f.name, "")
 		})
-		pause(ctx, rand0(s.random, maxGap))
+		pause(ctx, randomTime(s.random, maxGap))
 	}
 }
 
-func rand0(random *rand.Rand, d time.Duration) time.Duration {
+// randomTime returns a time below d.
+func randomTime(random *rand.Rand, d time.Duration) time.Duration {
 	return time.Duration(random.Int64N(int64(d)))
 }
 
--- a/internal/trial/soaker/program.go
+++ b/internal/trial/soaker/program.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -79,7 +80,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command == command {
-		if young := time.Since(p.startedAt) < youngProcess; !p.stopping || (err != nil && !young) {
+		young := time.Since(p.startedAt) < youngProcess
+		if !p.stopping || (err != nil && !young) {
 			p.found = append(p.found, fmt.Sprintf("CRASH: %s ended by itself: %v", p.name, err))
 		}
 		p.command = nil
@@ -105,20 +107,36 @@
 		line("readyAddress", p.readyAddress)
 		line("leaveTime", "300ms")
 		line("shutdownLimit", stopLimit.String())
-		fmt.Fprintf(&b, "retrySlack = %d.0\nseeds = [%q]\n", p.retrySlack, strings.Join(p.seeds, `","`))
+		fmt.Fprintf(&b, "retrySlack = %d.0\n", p.retrySlack)
+		fmt.Fprintf(&b, "seeds = [%s]\n", quoted(p.seeds))
 	}
-	text := strings.ReplaceAll(b.String(), `\"`, `"`)
 	next := p.settingsPath() + ".next"
-	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(next, []byte(b.String()), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
 	return errors.Wrap(os.Rename(next, p.settingsPath()), "replace settings")
 }
 
+// quoted returns texts as the elements of a list in TOML.
+func quoted(texts []string) string {
+	list := make([]string, len(texts))
+	for i, text := range texts {
+		list[i] = strconv.Quote(text)
+	}
+	return strings.Join(list, ", ")
+}
+
+// incarnation names the process that runs now, or ran last.
+func (p *program) incarnation() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%s@%d", p.name, p.starts)
+}
+
 // reload changes a setting, with a signal or without one.
 func (p *program) reload(signal bool) error {
 	p.mu.Lock()
-	p.retrySlack = 100 - p.retrySlack + 1
+	p.retrySlack ^= 1 // any change will do
 	err := p.writeSettings()
 	p.mu.Unlock()
 	if signal {
