--- a/internal/process/spender/stockcommit.go
+++ b/internal/process/spender/stockcommit.go
@@ -316,6 +316,9 @@
 			s.takeBudget(name, s.accounts[name], byKey[s.BudgetKey(name)], now)
 		}
 	}
+	if s.Committed != nil {
+		s.Committed(len(names), err)
+	}
 }
 
 func keyed(rows []storer.Row) map[string]storer.Row {
