One flush of the stock at a time

Test: TestCloseDuringACommit, panics before, passes after (three times). Ruled out: placement, admission (refusals are for want of budgets).

--- a/internal/process/spender/stock_fleet_test.go
+++ b/internal/process/spender/stock_fleet_test.go
@@ -241,3 +241,35 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestCloseDuringACommit ends Run while a commit is under way at a slow store and
+// closes the stock at once, as a gateway does that is told to stop: both commit
+// the same plans, and nothing may be left or lost.
+func TestCloseDuringACommit(t *testing.T) {
+	for delay := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			store := &narrowStore{Memory: storer.NewMemory(), bytesPerSecond: 1.25e6, write: 300 * time.Millisecond, parts: make(map[string]*sync.Mutex)}
+			store.calls = func(int) {}
+			store.Now = func() time.Duration { return time.Since(began) }
+			ctx, cancel := context.WithCancel(context.Background())
+			s := newFleetStocker(ctx, store, "router-1", 1)
+			for o := range 5 {
+				s.Watch(fmt.Sprintf("organisation-%d", o), 1_000_000)
+			}
+			for n := range 25 + delay {
+				time.Sleep(200 * time.Millisecond)
+				go ask(s, fmt.Sprintf("organisation-%d", n%5), 1_000_000, 1500)
+			}
+			cancel()
+			closing, done := context.WithTimeout(context.Background(), 20*time.Second)
+			defer done()
+			closed := time.Now()
+			s.Close(closing, func() bool { return time.Since(closed) > 3*time.Second }) // requests end in the meantime
+			rows, err := store.Scan(context.Background(), "holdings/", "", 100)
+			assert.NilError(t, err)
+			assert.Equal(t, len(rows), 0)
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
--- a/internal/process/spender/stockcommit.go
+++ b/internal/process/spender/stockcommit.go
@@ -26,6 +26,13 @@
 
 // flush commits what is due and reports whether nothing is left to commit.
 func (s *Stocker) flush(ctx context.Context, urgent, closing bool) (clean bool) {
+	turn := s.turn()
+	select {
+	case turn <- struct{}{}:
+		defer func() { <-turn }()
+	case <-ctx.Done():
+		return false
+	}
 	clean = true
 	var err error
 	begun := time.Now()
@@ -46,6 +53,16 @@
 	return clean
 }
 
+// turn returns the channel that holds one element during a flush.
+func (s *Stocker) turn() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.flushing == nil {
+		s.flushing = make(chan struct{}, 1)
+	}
+	return s.flushing
+}
+
 // flushScope commits what is due of a scope and reports whether there was any.
 func (s *Stocker) flushScope(ctx context.Context, sc scope, begun time.Time, urgent, closing bool) (sent bool, err error) {
 	for conflicts := 0; conflicts < commitTries; {
--- a/internal/process/spender/stocker.go
+++ b/internal/process/spender/stocker.go
@@ -89,7 +89,10 @@
 	limits  map[string]int64
 	waiters []chan struct{}
 	kick    chan struct{}
-	failing bool
+	// flushing lets one flush run at a time, so that no plan is sent twice at once: a
+	// stop closes the stock while the last flush of Run may be under way.
+	flushing chan struct{}
+	failing  bool
 	// batch is how many budgets one commit changes: fewer after each conflict.
 	batch int
 	// adopted is set once all holdings of earlier incarnations are known.
