Gateway logs: show resumptions and what the client received

Line 340 of an affected stream said "answered" with status 500 although the client had received 200, and a resumption left no line.

Lines 340 and 341 now carry the status that the client received and whether the response ended regularly; line 334 is a resumption; line 332 is written for every failure response, also for one that is passed on, with its size and whether a response had begun. No decision changes.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -67,6 +67,10 @@
 		if ref := g.refuseIfTooLate(q, out, shape, target, now); ref != nil {
 			return ref
 		}
+		if out.headerSent {
+			logger.StreamResumed.Log(g.Log, "request", q.ID, "target", target.ID, "after", out.splitter.LastID, "events", q.deliveredEvents,
+				"from", q.targetID, "sends", q.attempts)
+		}
 		q.triedTargets[target.ID] = true
 		q.targetID = target.ID
 		switch g.attempt(ctx, out, q, shape, target) {
@@ -265,8 +269,9 @@
 	}
 	if resp.Status >= 500 {
 		g.metrics.attempts.WithLabelValues("failed").Inc()
-		if q.route.Repeatable() && q.attempts < q.route.MaxAttempts && !out.headerSent {
-			logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status)
+		retry := q.route.Repeatable() && q.attempts < q.route.MaxAttempts && !out.headerSent
+		logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status, "bytes", len(body), "begun", out.headerSent, "retry", retry)
+		if retry {
 			return resultFailed
 		}
 	} else {
@@ -299,6 +304,9 @@
 	if sized {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
+	if !o.headerSent {
+		o.q.sentStatus = status
+	}
 	o.headerSent = true
 	o.w.WriteHeader(status)
 }
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -71,10 +71,13 @@
 	firstByteAfter   time.Duration
 	lastAttemptAfter time.Duration
 	// outcome is one of the outcomes below.
-	outcome  string
-	status   int
-	targetID string
-	choice   placer.Choice
+	outcome string
+	// status is that of the last target's response or of the refusal, sentStatus the
+	// one that the client received, or 0.
+	status     int
+	sentStatus int
+	targetID   string
+	choice     placer.Choice
 }
 
 // refusal is a response that the gateway makes itself instead of a target.
@@ -310,7 +313,7 @@
 	if ref.closeConnection {
 		h.Set("Connection", "close")
 	}
-	q.status = ref.status
+	q.status, q.sentStatus = ref.status, ref.status
 	h.Set("Content-Type", "text/plain")
 	h.Set("Content-Length", strconv.Itoa(len(ref.reason)+1))
 	w.WriteHeader(ref.status)
@@ -344,7 +347,7 @@
 		event = logger.RequestNotAnswered
 	}
 	event.Log(g.Log, append([]any{
-		"request", q.ID, "kind", kind, "outcome", q.outcome, "status", q.status, "target", q.targetID, "sends", q.attempts,
+		"request", q.ID, "kind", kind, "outcome", q.outcome, "status", q.status, "sentStatus", q.sentStatus, "complete", q.outcome != outcomeBroken, "target", q.targetID, "sends", q.attempts,
 		"ms", time.Since(q.startedAt).Milliseconds(), "firstMs", q.firstByteAfter.Milliseconds(), "sentMs", q.lastAttemptAfter.Milliseconds(),
 		"prompt", q.PromptTokens, "wait", int64(q.choice.Wait), "home", q.choice.Preferred, "events", q.deliveredEvents, "version", version,
 		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost, "lender", q.lender,
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -74,6 +74,7 @@
 	TargetRefused           = Event{331, slog.LevelInfo, "target refused a request without running it", "none; many of them mean that the service is at capacity"}
 	TargetFailed            = Event{332, slog.LevelInfo, "target responded with a failure", "check the target"}
 	NoTargetInTime          = Event{333, slog.LevelWarn, "no target is expected to be free in time", "too few targets, or too much load: see wait and firstToken"}
+	StreamResumed           = Event{334, slog.LevelInfo, "stream resumes at another target", "none"}
 	RequestEnded            = Event{340, slog.LevelInfo, "request answered", "none"}
 	RequestNotAnswered      = Event{341, slog.LevelWarn, "request not answered", "see docs/OPERATIONS.md"}
 	BudgetRefused           = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
@@ -97,6 +98,6 @@
 	GatewayStarted, GatewayDraining, GatewayStopped, MetricsServerFailed, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedRecovered, FeedReset,
 	ConfigurationApplied, ConfigurationUnreadable, TargetsListed, TargetUpdated, TargetRemoved, TargetUnreadable, StoreDirectPathLost, StoreDirectPathRestored, MemberUnreadable,
 	RowsFetchedFromPeer,
-	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
+	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered,
 }
