Gateway: only events continue a begun stream

Cause: when a stream breaks off and resumes at another target, copyResponse handed any response but a successful one to copyBuffered, which begins the client's response anew. The status and headers were already sent, so only the body got through, and the request counted as answered, so that the handler returned and net/http ended the response.

A response that is not a successful stream is now a failed attempt once a response has begun. The request goes on as after any failed attempt: at another target while the route and the retry budget allow, or with an aborted connection, after which clients may resume. This holds for every status, since it no longer depends on which one the target sent.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -257,9 +257,20 @@
 	if success && q.route.Kind == matcher.Streaming {
 		return g.copyStream(ctx, out, q, target, resp)
 	}
+	if out.headerSent {
+		g.recordFailureResponse(q, target, resp.Status, true)
+		return resultFailed
+	}
 	return g.copyBuffered(ctx, out, q, target, resp)
 }
 
+// recordFailureResponse logs and counts a response that reports a failure; retry tells
+// that it is not forwarded.
+func (g *Gateway) recordFailureResponse(q *request, target registrar.Entry, status int, retry bool) {
+	g.metrics.attempts.WithLabelValues("failed").Inc()
+	logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", status, "events", q.deliveredEvents, "retry", retry)
+}
+
 // copyBuffered reads a response of up to maxBufferedBytes completely before it sends
 // any of it to the client, so that a broken one can be retried.
 func (g *Gateway) copyBuffered(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
@@ -268,9 +279,8 @@
 		return g.recordFailedAttempt(ctx, q, target, err, resultFailed)
 	}
 	if resp.Status >= 500 {
-		g.metrics.attempts.WithLabelValues("failed").Inc()
-		retry := q.route.Repeatable() && q.attempts < q.route.MaxAttempts && !out.headerSent
-		logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status, "bytes", len(body), "begun", out.headerSent, "retry", retry)
+		retry := q.route.Repeatable() && q.attempts < q.route.MaxAttempts
+		g.recordFailureResponse(q, target, resp.Status, retry)
 		if retry {
 			return resultFailed
 		}
