Gateway: only a finished response ends regularly

A client that closes the sending side of its connection while its request runs received "200 OK" with an empty body and no signature.

Cause: net/http ends a response regularly whenever the handler returns. The handler aborted the connection only for the outcome "broken"; every other way out, such as a refusal that is not written since the request's context has ended, counted as complete. Which of the ways had begun a response was checked in four places.

clientResponse (response.go) is now the only writer of a response, and the handler aborts the connection unless finish was called, which only the end of a stream, of a buffered response and of a refusal do. Whether a refusal may still be sent is decided in one place, by whether the response has begun.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +13,6 @@
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/request/admitter"
 	"github.com/egretroute/egretroute/internal/request/placer"
-	"github.com/egretroute/egretroute/internal/request/splitter"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -51,24 +49,24 @@
 )
 
 // forward tries targets until the request is answered or may not be tried again. It
-// returns a refusal if no response has begun.
-func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, q *request) *refusal {
+// returns nil if the last attempt's response was forwarded or the client has
+// disconnected, and otherwise the refusal to send unless a response has begun.
+func (g *Gateway) forward(ctx context.Context, out *clientResponse, q *request) *refusal {
 	shape := q.shape(g.Domain)
-	out := &clientResponse{w: w, q: q}
 	for dialFailures := 0; dialFailures <= maxDialFailures; {
 		now := time.Now()
 		if q.deadline.Sub(now) < minAttemptTime {
-			return g.timedOut(q, out)
+			return timedOut(q)
 		}
 		target, ok := g.nextTarget(q, shape, now)
 		if !ok {
-			return g.noTargetLeft(q, out, noTargetRetryAfter)
+			return noTargetLeft(q, noTargetRetryAfter)
 		}
 		if ref := g.refuseIfTooLate(q, out, shape, target, now); ref != nil {
 			return ref
 		}
-		if out.headerSent {
-			logger.StreamResumed.Log(g.Log, "request", q.ID, "target", target.ID, "after", out.splitter.LastID, "events", q.deliveredEvents,
+		if out.begun() {
+			logger.StreamResumed.Log(g.Log, "request", q.ID, "target", target.ID, "after", q.splitter.LastID, "events", q.deliveredEvents,
 				"from", q.targetID, "sends", q.attempts)
 		}
 		q.triedTargets[target.ID] = true
@@ -82,31 +80,30 @@
 		case resultNotRun:
 		case resultFailed:
 			if ctx.Err() != nil {
-				return g.timedOut(q, out)
+				return timedOut(q)
 			}
 			if !q.route.Repeatable() && !q.route.Resumable {
 				return failedRefusal()
 			}
 		case resultBroken:
 			if !q.route.Resumable {
-				q.outcome = outcomeBroken
-				return nil
+				return failedRefusal()
 			}
 		}
 		if ctx.Err() != nil {
-			return g.timedOut(q, out)
+			return timedOut(q)
 		}
 		if q.attempts >= q.route.MaxAttempts || !g.retries.allow(q.service.Name, g.tracker.routerCount(), time.Now()) {
-			return g.noTargetLeft(q, out, busyRetryAfter)
+			return noTargetLeft(q, busyRetryAfter)
 		}
 	}
-	return g.noTargetLeft(q, out, busyRetryAfter)
+	return noTargetLeft(q, busyRetryAfter)
 }
 
 // refuseIfTooLate refuses a request that can't have run yet if its first token is
 // predicted to come too late for its deadline.
 func (g *Gateway) refuseIfTooLate(q *request, out *clientResponse, shape placer.Request, target registrar.Entry, now time.Time) *refusal {
-	if !shape.Engine || q.mayHaveRun || out.headerSent {
+	if !shape.Engine || q.mayHaveRun || out.begun() {
 		return nil
 	}
 	decision := admitter.Decide(admitter.Request{
@@ -147,18 +144,13 @@
 	return registrar.Entry{}, false
 }
 
-// noTargetLeft ends a request for which no further target may be tried. It returns a
-// refusal unless a response has begun.
-func (g *Gateway) noTargetLeft(q *request, out *clientResponse, retryAfter time.Duration) *refusal {
-	switch {
-	case out.headerSent:
-		q.outcome = outcomeBroken
-		return nil
-	case q.mayHaveRun:
+// noTargetLeft returns the refusal of a request for which no further target may be
+// tried.
+func noTargetLeft(q *request, retryAfter time.Duration) *refusal {
+	if q.mayHaveRun {
 		return failedRefusal()
-	default:
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no target took the request", retryAfter: retryAfter}
 	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "no target took the request", retryAfter: retryAfter}
 }
 
 // failedRefusal returns the refusal of a request that may have run.
@@ -166,37 +158,19 @@
 	return &refusal{status: http.StatusBadGateway, reason: "the target failed"}
 }
 
-// timedOut ends a request whose deadline has passed. It returns a refusal unless a
-// response has begun.
-func (g *Gateway) timedOut(q *request, out *clientResponse) *refusal {
-	switch {
-	case out.headerSent:
-		q.outcome = outcomeBroken
-		return nil
-	case q.mayHaveRun:
+// timedOut returns the refusal of a request whose deadline has passed.
+func timedOut(q *request) *refusal {
+	if q.mayHaveRun {
 		return &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}
-	default:
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no target was free in time", retryAfter: busyRetryAfter}
 	}
-}
-
-// clientResponse is the response to the client.
-type clientResponse struct {
-	w http.ResponseWriter
-	q *request
-	// headerSent is set once the status and the headers have been sent.
-	headerSent bool
-	// splitter splits a stream into events, over all attempts.
-	splitter splitter.Splitter
-	// inFlight is the current attempt at a target.
-	inFlight *inFlightRequest
+	return &refusal{status: http.StatusServiceUnavailable, reason: "no target was free in time", retryAfter: busyRetryAfter}
 }
 
 // attempt forwards the request to one target and its response to the client.
 func (g *Gateway) attempt(ctx context.Context, out *clientResponse, q *request, shape placer.Request, target registrar.Entry) attemptResult {
 	inFlight := g.tracker.begin(target.ID, shape, time.Now())
 	defer inFlight.end()
-	out.inFlight = inFlight
+	q.inFlight = inFlight
 	q.lastAttemptAfter = time.Since(q.startedAt)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -205,7 +179,7 @@
 		HasBody: q.http.ContentLength != 0, NewConnection: !q.route.Repeatable() && !shape.Engine,
 		Header: g.HeaderCodec.ForwardHeaders(q.http.Header, ForwardMetadata{
 			TimeLeft: time.Until(q.deadline), Target: target.ID, Organisation: q.organisationName(),
-			Priority: -1, LastEventID: out.splitter.LastID,
+			Priority: -1, LastEventID: q.splitter.LastID,
 		}),
 		Matches: func(status int, h http.Header) bool {
 			id := g.HeaderCodec.DecodeResponse(status, h).ID
@@ -257,7 +231,7 @@
 	if success && q.route.Kind == matcher.Streaming {
 		return g.copyStream(ctx, out, q, target, resp)
 	}
-	if out.headerSent {
+	if out.begun() {
 		g.recordFailureResponse(q, target, resp.Status, true)
 		return resultFailed
 	}
@@ -290,37 +264,24 @@
 	}
 	q.firstByteAfter = time.Since(q.startedAt)
 	g.metrics.observeFirstByte(q.route.Kind.String(), q.firstByteAfter)
-	out.writeHeader(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, len(body) <= maxBufferedBytes, len(body))
-	_, err = out.w.Write(body)
-	if err == nil && len(body) > maxBufferedBytes {
+	q.status, q.outcome = resp.Status, outcomeAnswered
+	length := len(body)
+	if length > maxBufferedBytes {
+		length = unknownLength
+	}
+	out.begin(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, length)
+	err = out.write(body)
+	if err == nil && length == unknownLength {
 		_, err = io.Copy(out.w, resp)
 	}
-	q.status, q.outcome = resp.Status, outcomeAnswered
 	if err != nil {
 		q.outcome = outcomeBroken
+		return resultAnswered
 	}
+	out.finish()
 	return resultAnswered
 }
 
-// writeHeader sends the status and the headers, with a Content-Length if sized is set.
-func (o *clientResponse) writeHeader(h http.Header, status int, sized bool, length int) {
-	header := o.w.Header()
-	for name, values := range h {
-		header[name] = values
-	}
-	if _, ok := header["Content-Type"]; !ok {
-		header["Content-Type"] = nil // keeps net/http from detecting one
-	}
-	if sized {
-		header.Set("Content-Length", strconv.Itoa(length))
-	}
-	if !o.headerSent {
-		o.q.sentStatus = status
-	}
-	o.headerSent = true
-	o.w.WriteHeader(status)
-}
-
 func (q *request) organisationName() string {
 	if q.organisation == nil {
 		return ""
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/request/placer"
+	"github.com/egretroute/egretroute/internal/request/splitter"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -72,12 +73,15 @@
 	lastAttemptAfter time.Duration
 	// outcome is one of the outcomes below.
 	outcome string
-	// status is that of the last target's response or of the refusal, sentStatus the
-	// one that the client received, or 0.
-	status     int
-	sentStatus int
-	targetID   string
-	choice     placer.Choice
+	// status is that of the last target's response or of the refusal; the client may
+	// have received an earlier one.
+	status   int
+	targetID string
+	// splitter splits a stream into events, over all attempts.
+	splitter splitter.Splitter
+	// inFlight is the current attempt at a target.
+	inFlight *inFlightRequest
+	choice   placer.Choice
 }
 
 // refusal is a response that the gateway makes itself instead of a target.
@@ -96,27 +100,34 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if ref := g.admit(w, q); ref != nil {
-		g.refuse(w, q, ref)
-		return
+	out := &clientResponse{w: w}
+	ref := g.handle(out, q)
+	switch {
+	case ref == nil:
+		g.logOutcome(out, q)
+	case out.begun():
+		q.outcome = outcomeBroken
+		g.logOutcome(out, q, "reason", ref.reason)
+	default:
+		g.refuse(out, q, ref)
+	}
+	out.end()
+}
+
+// handle admits, forwards and settles a request. It returns what forward returns, or a
+// refusal if the request was not forwarded.
+func (g *Gateway) handle(out *clientResponse, q *request) *refusal {
+	if ref := g.admit(out.w, q); ref != nil {
+		return ref
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
 	if ref := g.reserve(ctx, q); ref != nil {
-		g.refuse(w, q, ref)
-		return
+		return ref
 	}
 	g.retries.recordRequest(q.service.Name, q.startedAt)
-	ref := g.forward(ctx, w, q)
-	g.settle(q)
-	if ref != nil {
-		g.refuse(w, q, ref)
-		return
-	}
-	g.logOutcome(q)
-	if q.outcome == outcomeBroken {
-		panic(http.ErrAbortHandler) // the only way to end a response so that the client sees it as incomplete
-	}
+	defer g.settle(q)
+	return g.forward(ctx, out, q)
 }
 
 // Outcomes of requests, for logs and metrics.
@@ -294,13 +305,13 @@
 }
 
 // refuse sends a refusal to the client and logs the outcome.
-func (g *Gateway) refuse(w http.ResponseWriter, q *request, ref *refusal) {
+func (g *Gateway) refuse(out *clientResponse, q *request, ref *refusal) {
 	if q.http.Context().Err() != nil {
 		q.outcome = outcomeDisconnected
-		g.logOutcome(q)
+		g.logOutcome(out, q)
 		return
 	}
-	h := w.Header()
+	h := make(http.Header)
 	switch ref.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		q.outcome = outcomeNotRun
@@ -313,12 +324,14 @@
 	if ref.closeConnection {
 		h.Set("Connection", "close")
 	}
-	q.status, q.sentStatus = ref.status, ref.status
+	q.status = ref.status
 	h.Set("Content-Type", "text/plain")
-	h.Set("Content-Length", strconv.Itoa(len(ref.reason)+1))
-	w.WriteHeader(ref.status)
-	_, _ = io.WriteString(w, ref.reason+"\n") // the client may have disconnected
-	g.logOutcome(q, "reason", ref.reason, "retryAfter", ref.retryAfter)
+	body := []byte(ref.reason + "\n")
+	out.begin(h, ref.status, len(body))
+	if err := out.write(body); err == nil {
+		out.finish()
+	}
+	g.logOutcome(out, q, "reason", ref.reason, "retryAfter", ref.retryAfter)
 }
 
 // jitter returns a random duration within a quarter of d, so that refused clients
@@ -333,7 +346,7 @@
 }
 
 // logOutcome logs and counts the outcome of a request.
-func (g *Gateway) logOutcome(q *request, attrs ...any) {
+func (g *Gateway) logOutcome(out *clientResponse, q *request, attrs ...any) {
 	kind, version := "none", uint64(0)
 	if q.route != nil {
 		kind = q.route.Kind.String()
@@ -347,7 +360,7 @@
 		event = logger.RequestNotAnswered
 	}
 	event.Log(g.Log, append([]any{
-		"request", q.ID, "kind", kind, "outcome", q.outcome, "status", q.status, "sentStatus", q.sentStatus, "complete", q.outcome != outcomeBroken, "target", q.targetID, "sends", q.attempts,
+		"request", q.ID, "kind", kind, "outcome", q.outcome, "status", q.status, "sentStatus", out.status, "complete", out.complete, "target", q.targetID, "sends", q.attempts,
 		"ms", time.Since(q.startedAt).Milliseconds(), "firstMs", q.firstByteAfter.Milliseconds(), "sentMs", q.lastAttemptAfter.Milliseconds(),
 		"prompt", q.PromptTokens, "wait", int64(q.choice.Wait), "home", q.choice.Preferred, "events", q.deliveredEvents, "version", version,
 		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost, "lender", q.lender,
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
@@ -16,13 +15,12 @@
 // copyStream sends a target's stream to the client event by event, as complete events
 // arrive.
 func (g *Gateway) copyStream(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
-	out.splitter.DiscardPartial()
-	if !out.headerSent {
-		out.writeHeader(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, false, 0)
-		q.status = resp.Status
+	q.splitter.DiscardPartial()
+	q.status = resp.Status
+	if !out.begun() {
+		out.begin(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, unknownLength)
 	}
-	flusher := http.NewResponseController(out.w)
-	if err := flusher.Flush(); err != nil {
+	if err := out.flush(); err != nil {
 		q.outcome = outcomeDisconnected
 		return resultAnswered
 	}
@@ -30,39 +28,40 @@
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
-			if writeErr := g.copyEvents(out, q, flusher, buf[:n]); writeErr != nil {
+			if writeErr := g.copyEvents(out, q, buf[:n]); writeErr != nil {
 				q.outcome = outcomeDisconnected
 				return resultAnswered
 			}
 		}
 		switch {
-		case err == io.EOF && !out.splitter.Pending():
+		case err == io.EOF && !q.splitter.Pending():
 			g.metrics.attempts.WithLabelValues("ok").Inc()
 			g.tracker.recordSuccess(target.ID)
 			q.outcome = outcomeAnswered
+			out.finish()
 			return resultAnswered
-		case err != nil || out.splitter.TooLong():
+		case err != nil || q.splitter.TooLong():
 			return g.recordFailedAttempt(ctx, q, target, errOr(err, io.ErrUnexpectedEOF), resultBroken)
 		}
 	}
 }
 
 // copyEvents sends the events that are completed by b to the client.
-func (g *Gateway) copyEvents(out *clientResponse, q *request, flusher *http.ResponseController, b []byte) error {
-	events := out.splitter.Feed(b)
+func (g *Gateway) copyEvents(out *clientResponse, q *request, b []byte) error {
+	events := q.splitter.Feed(b)
 	if len(events) == 0 {
 		return nil
 	}
-	out.inFlight.recordFirstToken()
+	q.inFlight.recordFirstToken()
 	if q.deliveredEvents == 0 {
 		q.firstByteAfter = time.Since(q.startedAt)
 		g.metrics.observeFirstByte(q.route.Kind.String(), q.firstByteAfter)
 	}
-	q.deliveredEvents = out.splitter.Events
-	if _, err := out.w.Write(events); err != nil {
+	q.deliveredEvents = q.splitter.Events
+	if err := out.write(events); err != nil {
 		return err
 	}
-	return flusher.Flush()
+	return out.flush()
 }
 
 func errOr(err, other error) error {
