A response too large to keep is no longer replayed as an empty one

A client whose keyed request was answered with more than 16,384 bytes, and who sent it again with the same key, got the original status, Egretroute-Outcome answered and an empty body: framed as complete, with a matching checksum, and not the response.

Cause: Claimer.Finish dropped the body and stored the rest of the response as finished. A response is now kept whole or not at all; the retry ends as unknown with reason already-started (409, docs/OPERATORS.md: "its response is not known"), which is what StartedError already promised for a response that was not kept.

Claim rows that the earlier code stored without their body can't be told from those of empty responses and are still replayed as such.

--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -37,8 +37,8 @@
 )
 
 const (
-	// maxStoredResponseBytes bounds the body of a response that is kept for replay;
-	// a larger body is dropped.
+	// maxStoredResponseBytes bounds the body of a response that is kept for replay,
+	// since it is stored in the claim's row.
 	maxStoredResponseBytes = 16 << 10
 	// claimTimeout bounds the wait for the platform before a run.
 	claimTimeout = 400 * time.Millisecond
@@ -237,10 +237,12 @@
 	c.breakerOpenUntil = time.Now().Add(breakerOpenTime)
 }
 
-// Finish records the response of a claimed run, which is replayed to retries.
+// Finish records the response of a claimed run, which is replayed to retries. A response
+// with a body above maxStoredResponseBytes is not kept at all, so that retries never
+// receive a part of it as the response.
 func (c *Claimer) Finish(ctx context.Context, claim *Claim, response Response) {
 	if len(response.Body) > maxStoredResponseBytes {
-		response.Body = nil
+		return
 	}
 	c.mu.Lock()
 	if r, ok := c.records[claim.key]; ok {
