Part of an event is no longer passed on as a whole event when an engine's stream breaks

A client whose engine crashed, or whose engine's connection broke, within an event got the first part of that event framed as a whole one ("data: {\"a\":" and an empty line), before the error event.

Cause: forwardEvents reads lines with bufio.ScanLines, which returns what is left at the end of the input, also after a read error, as a last line, and forwardEvents ends each line as an event. Only lines with their line end are passed on now. The remainder was never a known event, so nothing that was right is lost.

Evidence: TestIncompleteEngineStreamIsNotAnswered, cases 2 to 6 of testdata/streams.txt (connection breaks, closes, or the response ends, in the middle of an event or of [DONE]). Before, in case 2 (- received, and not in the expected text):

data: {"a":1}

-data: {"a": -

and likewise "data: 12" in case 3, and "data: [DO" in case 6.

--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -140,6 +140,7 @@
 func forwardEvents(r io.Reader, sink Sink) (Usage, error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
+	scanner.Split(scanWholeLines)
 	usage := Usage{}
 	complete := false
 	for scanner.Scan() {
@@ -173,6 +174,15 @@
 	return usage, nil
 }
 
+// scanWholeLines is a bufio.SplitFunc like bufio.ScanLines, except that it drops a last
+// line without a line end, which may be a part of a line.
+func scanWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if bytes.IndexByte(data, '\n') < 0 {
+		return 0, nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // forwardDocument copies a JSON response to sink.
 func forwardDocument(r io.Reader, sink Sink) (Usage, error) {
 	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes))
