An engine's stream that ends before [DONE] is no longer answered

A client whose engine reports the usage in every event got outcome answered and a [DONE] added by the router for a stream that ended after any of them: regularly, or by closing a connection whose response has no framed end, as a crash does.

Cause: forwardEvents took "a usage was seen" for "the stream is complete" and skipped [DONE] as if it said nothing. Only [DONE] completes a stream now; the usage is required as before. Such a stream is failed-after-start, target-failed.

--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -132,17 +132,24 @@
 	return Usage{Prompt: d.Usage.PromptTokens, Output: d.Usage.CompletionTokens}
 }
 
-// errNoUsage is returned for an event stream that ends without reporting its usage.
-var errNoUsage = errors.New("event stream ended without reporting its usage")
+// Errors of event streams that end early or without what is needed of them.
+var (
+	// errIncompleteStream is returned for an event stream that ends before [DONE].
+	errIncompleteStream = errors.New("event stream ended before [DONE]")
+	// errNoUsage is returned for an event stream that ends without reporting its usage.
+	errNoUsage = errors.New("event stream ended without reporting its usage")
+)
 
 // forwardEvents copies server-sent events to sink, except the closing [DONE], which the
-// router adds once the response is known to be complete.
+// router adds once the response is known to be complete. Only [DONE] says that a stream is
+// complete: the usage may come in every event, and the end of the response may be that of
+// a connection.
 func forwardEvents(r io.Reader, sink Sink) (Usage, error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
 	scanner.Split(scanWholeLines)
 	usage := Usage{}
-	complete := false
+	reported := false
 	for scanner.Scan() {
 		line := scanner.Bytes()
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
@@ -150,14 +157,17 @@
 			continue
 		}
 		if bytes.Equal(data, []byte("[DONE]")) {
-			break
+			if !reported {
+				return usage, errNoUsage
+			}
+			return usage, nil
 		}
 		if bytes.Contains(data, []byte(`"usage":{`)) {
 			var doc usageDocument
 			if err := json.Unmarshal(data, &doc); err != nil {
 				return usage, errors.Wrap(err, "decode usage")
 			}
-			usage, complete = doc.usage(), true
+			usage, reported = doc.usage(), true
 		} else {
 			usage.Output++
 		}
@@ -168,10 +178,7 @@
 	if err := scanner.Err(); err != nil {
 		return usage, errors.Wrap(err, "read events")
 	}
-	if !complete {
-		return usage, errNoUsage
-	}
-	return usage, nil
+	return usage, errIncompleteStream
 }
 
 // scanWholeLines is a bufio.SplitFunc like bufio.ScanLines, except that it drops a last
--- a/internal/process/agent/engine_test.go
+++ b/internal/process/agent/engine_test.go
@@ -133,6 +133,8 @@
 	switch {
 	case err == nil:
 		return "none"
+	case errors.Is(err, errIncompleteStream):
+		return "incomplete"
 	case errors.Is(err, errNoUsage):
 		return "no-usage"
 	default:
