An engine's stream that reports an error is no longer answered

A client whose engine failed during a stream, reported that as an event, and still ended with the usage and [DONE] (engines that report the usage in every event do), got outcome answered and [DONE]; of "event: error" it got the data without the name, as a piece of the answer. A failed attempt's error text also reached the client before the router had decided how the request ends.

Cause: forwardEvents looked only for the usage in an event and dropped lines other than data. It now reads an event's error too, ends the run as failed-after-start, target-failed, and doesn't copy the error, so that a request whose stream has not begun may be retried elsewhere. Events are decoded only if they name a usage or an error; both are found whatever spaces the engine writes (before, "usage": { was not found).

Evidence: TestIncompleteEngineStreamIsNotAnswered, cases 14 to 16. Before, all three passed on the error and returned no error; in case 14 (- received, not in the expected):

data: {"a":1,"usage":{"prompt_tokens":1,"completion_tokens":1}}

-data: {"error":{"message":"out of memory","code":500}} -

Cases 17 and 18 passed before and must go on to pass: an error that is null, and text that speaks of errors and usage.

--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -117,25 +117,47 @@
 	if err := json.NewDecoder(resp.Body).Decode(&doc); err != nil || resp.StatusCode != http.StatusOK {
 		return Usage{}, ErrUnsettled
 	}
-	return doc.usage(), nil
+	return doc.Usage.usage(), nil
+}
+
+// tokenCounts is the usage object of an engine's API.
+type tokenCounts struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+func (c tokenCounts) usage() Usage {
+	return Usage{Prompt: c.PromptTokens, Output: c.CompletionTokens}
 }
 
 // usageDocument is the part of an engine's response that reports the usage.
 type usageDocument struct {
-	Usage struct {
-		PromptTokens     int64 `json:"prompt_tokens"`
-		CompletionTokens int64 `json:"completion_tokens"`
-	} `json:"usage"`
+	Usage tokenCounts `json:"usage"`
 }
 
-func (d usageDocument) usage() Usage {
-	return Usage{Prompt: d.Usage.PromptTokens, Output: d.Usage.CompletionTokens}
+// eventDocument is the part of an engine's event that the agent reads.
+type eventDocument struct {
+	Usage *tokenCounts `json:"usage"` // nil in an event without usage
+	Error any          `json:"error"` // nil in an event without error
+}
+
+// decodeEvent reads the data of an event. Most events carry text only and are not decoded:
+// within a JSON string, the quotes of the names would be escaped.
+func decodeEvent(data []byte) (eventDocument, error) {
+	var doc eventDocument
+	if !bytes.Contains(data, []byte(`"usage"`)) && !bytes.Contains(data, []byte(`"error"`)) {
+		return doc, nil
+	}
+	err := json.Unmarshal(data, &doc)
+	return doc, errors.Wrap(err, "decode event")
 }
 
 // Errors of event streams that end early or without what is needed of them.
 var (
 	// errIncompleteStream is returned for an event stream that ends before [DONE].
 	errIncompleteStream = errors.New("event stream ended before [DONE]")
+	// errEngineFailed is returned for an event stream in which the engine reports an error.
+	errEngineFailed = errors.New("engine reported an error in its event stream")
 	// errNoUsage is returned for an event stream that ends without reporting its usage.
 	errNoUsage = errors.New("event stream ended without reporting its usage")
 )
@@ -143,42 +165,60 @@
 // forwardEvents copies server-sent events to sink, except the closing [DONE], which the
 // router adds once the response is known to be complete. Only [DONE] says that a stream is
 // complete: the usage may come in every event, and the end of the response may be that of
-// a connection.
+// a connection. An error that the engine reports is not copied: it ends the run as failed,
+// and the response may then come from another target.
 func forwardEvents(r io.Reader, sink Sink) (Usage, error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
 	scanner.Split(scanWholeLines)
-	usage := Usage{}
-	reported := false
+	f := eventForwarder{sink: sink}
 	for scanner.Scan() {
-		line := scanner.Bytes()
-		data, ok := bytes.CutPrefix(line, []byte("data: "))
-		if !ok {
-			continue
-		}
-		if bytes.Equal(data, []byte("[DONE]")) {
-			if !reported {
-				return usage, errNoUsage
-			}
-			return usage, nil
-		}
-		if bytes.Contains(data, []byte(`"usage":{`)) {
-			var doc usageDocument
-			if err := json.Unmarshal(data, &doc); err != nil {
-				return usage, errors.Wrap(err, "decode usage")
-			}
-			usage, reported = doc.usage(), true
-		} else {
-			usage.Output++
-		}
-		if err := sink.Data(append(append([]byte(nil), line...), '\n', '\n')); err != nil {
-			return usage, err
+		done, err := f.forward(scanner.Bytes())
+		if done || err != nil {
+			return f.usage, err
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		return usage, errors.Wrap(err, "read events")
+		return f.usage, errors.Wrap(err, "read events")
+	}
+	return f.usage, errIncompleteStream
+}
+
+// eventForwarder copies the events of one stream and counts their usage.
+type eventForwarder struct {
+	sink     Sink
+	usage    Usage
+	reported bool // the engine has reported a usage
+}
+
+// forward copies one line of the stream if it is an event, and reports whether it is the
+// closing [DONE].
+func (f *eventForwarder) forward(line []byte) (done bool, err error) {
+	if name, ok := bytes.CutPrefix(line, []byte("event:")); ok && string(bytes.TrimSpace(name)) == "error" {
+		return false, errEngineFailed
+	}
+	data, ok := bytes.CutPrefix(line, []byte("data: "))
+	if !ok {
+		return false, nil
+	}
+	if bytes.Equal(data, []byte("[DONE]")) {
+		if !f.reported {
+			return false, errNoUsage
+		}
+		return true, nil
+	}
+	doc, err := decodeEvent(data)
+	switch {
+	case err != nil:
+		return false, err
+	case doc.Error != nil:
+		return false, errEngineFailed
+	case doc.Usage != nil:
+		f.usage, f.reported = doc.Usage.usage(), true
+	default:
+		f.usage.Output++
 	}
-	return usage, errIncompleteStream
+	return false, f.sink.Data(append(append([]byte(nil), line...), '\n', '\n'))
 }
 
 // scanWholeLines is a bufio.SplitFunc like bufio.ScanLines, except that it drops a last
@@ -200,5 +240,5 @@
 	if err := json.Unmarshal(body, &doc); err != nil {
 		return Usage{}, errors.Wrap(err, "decode response")
 	}
-	return doc.usage(), sink.Data(body)
+	return doc.Usage.usage(), sink.Data(body)
 }
--- a/internal/process/agent/engine_test.go
+++ b/internal/process/agent/engine_test.go
@@ -135,6 +135,8 @@
 		return "none"
 	case errors.Is(err, errIncompleteStream):
 		return "incomplete"
+	case errors.Is(err, errEngineFailed):
+		return "engine"
 	case errors.Is(err, errNoUsage):
 		return "no-usage"
 	default:
