A service's response above 64 MiB is no longer cut to 64 MiB and counted as answered

Cause: service.Execute read the body through io.LimitReader, which ends like a complete body at its limit. The agent then sent an End with outcome answered and the length and checksum of what was left. Both backends now read through readResponse, which returns the whole body or errResponseTooLong; the run is failed-after-start, target-failed, and the target doesn't count as crashed. (A document of an engine that was cut there failed to decode; it now fails as too long.)

What callers saw: no cut response yet, because a single frame above 16 MiB is refused by the router, so the request ended as unknown, contact-lost.

Evidence: TestTooLongResponseIsNotCut.

1_bytes_above_the_limit: assertion failed: error is nil, not "response of the target is too long"

After: 3 of 3 runs pass; a body of exactly 64 MiB is passed on whole before and after.

--- a/internal/process/agent/backend.go
+++ b/internal/process/agent/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -12,8 +13,13 @@
 	"github.com/egretroute/egretroute/internal/connection/framer"
 )
 
-// probeTimeout bounds one probe of a target.
-const probeTimeout = 500 * time.Millisecond
+const (
+	// probeTimeout bounds one probe of a target.
+	probeTimeout = 500 * time.Millisecond
+	// maxResponseBytes bounds a response that is not streamed; agent and router hold it
+	// in memory.
+	maxResponseBytes = 64 << 20
+)
 
 // Errors of backends.
 var (
@@ -25,6 +31,8 @@
 	ErrUnsettled = errors.New("target did not report the usage of the attempt")
 	// ErrCrashed is returned when the connection to the target failed during a run.
 	ErrCrashed = errors.New("connection to the target failed during the run")
+	// errResponseTooLong is returned for a response above maxResponseBytes.
+	errResponseTooLong = errors.New("response of the target is too long")
 )
 
 // Usage is the cost of a run, in tokens.
@@ -60,6 +68,18 @@
 	Service() string
 }
 
+// readResponse reads the whole body of a response, or none of it.
+func readResponse(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1)) // one more shows that it is too long
+	if err != nil {
+		return nil, errors.Wrap(err, "read response")
+	}
+	if len(body) > maxResponseBytes {
+		return nil, errResponseTooLong
+	}
+	return body, nil
+}
+
 // probeURL reports whether an HTTP server responds, with any status.
 func probeURL(ctx context.Context, client *http.Client, url string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	maxResponseBytes  = 64 << 20
 	maxEventBytes     = 1 << 20
 	settleTimeout     = 2 * time.Second
 	eventBufferBytes  = 4 << 10
@@ -232,9 +231,9 @@
 
 // forwardDocument copies a JSON response to sink.
 func forwardDocument(r io.Reader, sink Sink) (Usage, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes))
+	body, err := readResponse(r)
 	if err != nil {
-		return Usage{}, errors.Wrap(err, "read response")
+		return Usage{}, err
 	}
 	var doc usageDocument
 	if err := json.Unmarshal(body, &doc); err != nil {
--- a/internal/process/agent/service.go
+++ b/internal/process/agent/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -62,8 +61,11 @@
 		return usage, errors.Wrap(ErrCrashed, err.Error())
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
+	body, err := readResponse(resp.Body)
+	switch {
+	case errors.Is(err, errResponseTooLong):
+		return usage, err // the target is up
+	case err != nil:
 		return usage, errors.Wrap(ErrCrashed, err.Error())
 	}
 	// The request has run, although its response may not be deliverable. The sink gets
--- a/internal/process/agent/service_test.go
+++ b/internal/process/agent/service_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -19,6 +21,30 @@
 func (discardSink) Head(int, string) error { return nil }
 func (discardSink) Data([]byte) error      { return nil }
 
+// TestTooLongResponseIsNotCut guards against a response above the limit that is cut to the
+// limit and counts as answered.
+func TestTooLongResponseIsNotCut(t *testing.T) {
+	for _, over := range []int{0, 1} {
+		t.Run(fmt.Sprint(over, " bytes above the limit"), func(t *testing.T) {
+			body := bytes.Repeat([]byte("r"), maxResponseBytes+over)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(body)
+			}))
+			defer srv.Close()
+			sink := &recordingSink{}
+			run := &framer.Run{Method: http.MethodGet, Path: "/"}
+			_, err := NewService(srv.URL, "orders").Execute(context.Background(), run, sink)
+			if over > 0 {
+				assert.ErrorIs(t, err, errResponseTooLong)
+				assert.Equal(t, sink.body.Len(), 0)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, sink.body.Len(), len(body))
+		})
+	}
+}
+
 // TestEmptyOrderIsSentOnce sends two orders without a body to a service that closes the
 // reused connection after it has read the second one. The second order may have been run
 // and must not be sent again, but net/http repeats a POST by itself if it has an
