A complete response above 16 MiB no longer ends as unknown

A client whose response had between 16 and 64 MiB got outcome unknown, contact-lost, although the agent had the complete response and ended the run as answered. An idempotent request was run again at up to five targets, each of which counted as failing.

Cause: responseWriter.Data sent whatever it got as one frame, and a router refuses frames above framer.MaxFrameBytes. Data is now sent in frames of at most 1 MiB; length and checksum in the End cover the whole body as before.

Evidence: TestLongResponseDoesNotLoseContact.

--- a/internal/process/agent/replays_test.go
+++ b/internal/process/agent/replays_test.go
@@ -193,6 +193,24 @@
 	assert.Assert(t, bytes.Equal(retry.body, body))
 }
 
+// TestLongResponseDoesNotLoseContact guards against a complete response that the router
+// can't read because a frame of it is too large.
+func TestLongResponseDoesNotLoseContact(t *testing.T) {
+	for _, n := range []int{framer.MaxFrameBytes, framer.MaxFrameBytes + 1, maxResponseBytes} {
+		t.Run(fmt.Sprint(n, " bytes"), func(t *testing.T) {
+			body := bytes.Repeat([]byte("r"), n)
+			service := startOrderService(t, body)
+			close(service.release)
+			_, address := startAgent(t, service.url, storer.NewMemory())
+			_, stream := sendOrder(t, address, 1)
+			response := receiveResponse(t, stream)
+			assert.Equal(t, response.end.Outcome, framer.OutcomeAnswered)
+			assert.Equal(t, response.heads, 1)
+			assert.Assert(t, bytes.Equal(response.body, body))
+		})
+	}
+}
+
 // awaitIdle waits until no run is in progress at the agent.
 func awaitIdle(a *Agent) {
 	for {
--- a/internal/process/agent/response.go
+++ b/internal/process/agent/response.go
@@ -1,12 +1,18 @@
 package agent
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
 )
 
+// maxChunkBytes bounds the data of one frame: far below framer.MaxFrameBytes, above which
+// the router refuses a frame and loses contact with the run.
+const maxChunkBytes = 1 << 20
+
 // responseWriter is the Sink that sends the response of one attempt to its router.
 type responseWriter struct {
 	stream   *linker.Stream
@@ -41,7 +47,12 @@
 	if w.keepBody {
 		w.body = append(w.body, p...)
 	}
-	return w.stream.Write(&framer.Chunk{Attempt: w.attempt, Data: p})
+	for piece := range slices.Chunk(p, maxChunkBytes) {
+		if err := w.stream.Write(&framer.Chunk{Attempt: w.attempt, Data: piece}); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // lengthAndChecksum returns the length and the checksum of the body sent so far.
