A lost, late or repeated Head no longer lets a response pass that is cut or mixed

With such frames from an agent, the router's client got outcome answered for a plain response without its first part, or made of two attempts; without any Head the router's handler panicked (WriteHeader with code 0) and the connection closed without a response. No agent of ours is known to send such frames: a link is a reliable stream and each run writes one Head first. The size and checksum exist for the case that one doesn't.

Cause: the size and checksum ran over all chunks of an attempt, while setHead discards what the response has buffered; and nothing required a Head. The Head now starts the count, and an answered attempt without one is broken, like one with a wrong checksum.

Evidence: TestResponsesAreCompleteAndFromOneAttempt, cases 16 to 21 of testdata/answers.txt.

16: assertion failed: answered (outcome string) != failed-after-start 17: assertion failed: answered (outcome string) != failed-after-start 18: assertion failed: answered (outcome string) != failed-after-start 19, 20, 21: Post ".../v1/chat/completions": EOF

Cases 14, 15 and 22 to 24 passed before: plain responses had no case yet, and the test now compares a whole plain response with all that was expected.

--- a/internal/process/router/attempt.go
+++ b/internal/process/router/attempt.go
@@ -141,6 +141,7 @@
 	run      *framer.Run
 	response *clientResponse
 
+	headed     bool // the Head has arrived
 	bytes      int64
 	hash       xxhash.Digest
 	events     int64
@@ -168,7 +169,7 @@
 		switch m := m.(type) {
 		case *framer.Head:
 			if rr.accepts(m.Attempt) {
-				rr.response.setHead(m.Status, m.ContentType)
+				rr.begin(m)
 			}
 		case *framer.Chunk:
 			if rr.accepts(m.Attempt) {
@@ -184,6 +185,14 @@
 	}
 }
 
+// begin starts the response. What arrived before the Head does not count as part of the
+// body, since clientResponse.setHead discards it.
+func (rr *responseReader) begin(m *framer.Head) {
+	rr.headed, rr.bytes = true, 0
+	rr.hash.Reset()
+	rr.response.setHead(m.Status, m.ContentType)
+}
+
 // accepts reports whether a frame belongs to this attempt, and counts it if not.
 func (rr *responseReader) accepts(attempt uint64) bool {
 	if attempt == rr.run.Attempt {
@@ -208,13 +217,13 @@
 	}
 }
 
-// verify compares the size and checksum of the received body with those that
-// the agent sent, and fails the result if they differ.
+// verify compares the size and checksum of the body received since the Head with those
+// that the agent sent, and fails the result if they differ or if there was no Head.
 func (rr *responseReader) verify(end *framer.End, res *result) {
 	if end.Outcome != framer.OutcomeAnswered {
 		return
 	}
-	intact := rr.bytes == end.Bytes && (rr.bytes == 0 || rr.hash.Sum64() == end.Checksum)
+	intact := rr.headed && rr.bytes == end.Bytes && (rr.bytes == 0 || rr.hash.Sum64() == end.Checksum)
 	if intact {
 		return
 	}
--- a/internal/process/router/responses_test.go
+++ b/internal/process/router/responses_test.go
@@ -110,10 +110,11 @@
 // answerCase is one case of testdata/answers.txt.
 type answerCase struct {
 	name    string
+	plain   bool       // no stream is requested
 	scripts [][]string // frames by attempt
 	outcome string
 	body    string // one letter per event
-	ending  string // done or error
+	ending  string // done, error or whole
 }
 
 func readAnswerCases(t *testing.T) []answerCase {
@@ -124,6 +125,10 @@
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
 		line := lines.Text()
+		if line == "plain" {
+			cases[len(cases)-1].plain = true
+			continue
+		}
 		if frames, ok := strings.CutPrefix(line, "frames: "); ok {
 			c := &cases[len(cases)-1]
 			for _, script := range strings.Split(frames, " then ") {
@@ -199,7 +204,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			agent.setScripts(c.scripts)
 			req, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions",
-				strings.NewReader(`{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}`))
+				strings.NewReader(fmt.Sprintf(`{"model":"m","stream":%t,"messages":[{"role":"user","content":"x"}]}`, !c.plain)))
 			assert.NilError(t, err)
 			req.Header.Set("Authorization", "Bearer key")
 			resp, err := http.DefaultClient.Do(req)
@@ -217,6 +222,7 @@
 			assert.Assert(t, strings.HasPrefix(text, want.String()), text)
 			assert.Equal(t, strings.HasSuffix(text, "data: [DONE]\n\n"), c.ending == "done", text)
 			assert.Equal(t, strings.Contains(text, `"error"`), c.ending == "error", text)
+			assert.Equal(t, text == want.String(), c.ending == "whole", text)
 			assert.Assert(t, !strings.Contains(text, "X") && !strings.Contains(text, "Y"), text)
 		})
 	}
