A plain response tells a client of HTTP/1.0 its length

A client of HTTP/1.0 that gets a response above 2 KiB (net/http's buffer) got no Content-Length and a body that ends where the connection closes, under outcome answered. If the router's process or host ends while it sends, the part looks like the whole.

Cause: clientResponse.finish knows the whole body and left its framing to net/http, which has none but the close for HTTP/1.0. It now sets Content-Length. HTTP/1.1 clients get the length instead of chunks, which shows a cut as well as chunks do.

Evidence: TestCutResponseDoesNotLookCompleteToHTTP10.

10000_letters: assertion failed: -1 (resp.ContentLength int64) != 10008 (int64)

Streams need no length: they are complete only with [DONE].

--- a/internal/process/router/response.go
+++ b/internal/process/router/response.go
@@ -148,6 +148,9 @@
 	default:
 		res.setHeaders(resp.w.Header(), resp.request.id)
 		resp.w.Header().Set("Content-Type", resp.contentType)
+		if len(resp.buffer) > 0 { // a response to HEAD, or with status 204 or 304, has none
+			resp.w.Header().Set("Content-Length", strconv.Itoa(len(resp.buffer)))
+		}
 		resp.w.WriteHeader(resp.status)
 		_, _ = resp.w.Write(resp.buffer)
 	}
--- a/internal/process/router/responses_test.go
+++ b/internal/process/router/responses_test.go
@@ -227,3 +227,29 @@
 		})
 	}
 }
+
+// TestCutResponseDoesNotLookCompleteToHTTP10 guards against a plain response without its
+// length: a client of HTTP/1.0 takes one for complete wherever the connection closes.
+func TestCutResponseDoesNotLookCompleteToHTTP10(t *testing.T) {
+	agent := &scriptedAgent{}
+	url := startRouter(t, agent)
+	for _, letters := range []int{1, 10_000} { // net/http adds the length of short responses itself
+		t.Run(fmt.Sprint(letters, " letters"), func(t *testing.T) {
+			agent.setScripts([][]string{{"head", "chunk " + strings.Repeat("a", letters), "end"}})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			assert.NilError(t, err)
+			defer conn.Close()
+			request := `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+			_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.0\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s",
+				len(request), request)
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, len(body), letters+len("data: \n\n"))
+			assert.Equal(t, resp.ContentLength, int64(len(body)))
+		})
+	}
+}
