The stand-in engine no longer ends a canceled run like a complete one

A run that is canceled by its ID (DELETE /v1/streams/ID, which agents use to settle) ended for whoever still read it with its usage and [DONE], or as a whole JSON document: status 200, regular framing, and a part of the tokens.

Cause: Generator.Cancel ended the run in the way in which it ends at max_tokens. A run that Cancel ends is now marked like those of a crash, so that its handler aborts the connection. The usage stays known under its ID as before. In the fleet, an agent settles only what it has stopped reading, so no client of a router saw this; it is what the stand-in would have taught a test of the agent.

Evidence: TestCanceledRunDoesNotLookComplete.

streamed_true: assertion failed: err is nil: the response of a run of 1000000 tokens ended regularly after 1: ..."usage":{"prompt_tokens":1,...}} data: [DONE] streamed_false: assertion failed: err is nil: the response of a run of 1000000 tokens ended regularly after 1: ...

--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -46,7 +46,7 @@
 	steps       chan int64 // receives the number of tokens generated so far
 	done        chan struct{}
 	ended       bool
-	broken      bool
+	broken      bool // the response must not end as if it were complete
 }
 
 // Generator simulates one engine.
--- a/internal/standin/generator/handler.go
+++ b/internal/standin/generator/handler.go
@@ -202,13 +202,14 @@
 }
 
 // Cancel ends a stream and returns its usage; it returns false if there is no
-// stream or usage of that ID.
+// stream or usage of that ID. The response of a stream that it ends is aborted.
 func (g *Generator) Cancel(id string) (Usage, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, list := range [][]*stream{g.active, g.waiting} {
 		for _, s := range list {
-			if s.id == id {
+			if s.id == id && !s.ended {
+				s.broken = true
 				g.endStream(s)
 			}
 		}
