Gateway: a response to HEAD states the target's length

Callers saw "Content-Length: 0" on each response to HEAD, which says that a GET would return an empty body. The length was that of the body read, and a response to HEAD has none. The target's own length is passed on, or none if it stated none.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -266,7 +266,10 @@
 	g.metrics.observeFirstByte(q.route.Kind.String(), q.firstByteAfter)
 	q.status, q.outcome = resp.Status, outcomeAnswered
 	length := len(body)
-	if length > maxBufferedBytes {
+	switch {
+	case q.http.Method == http.MethodHead:
+		length = int(resp.Length) // of the body that a GET would return
+	case length > maxBufferedBytes:
 		length = unknownLength
 	}
 	out.begin(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, length)
