Gateway: OPTIONS * is refused instead of answered by net/http

Callers saw an unsigned, empty 200 for "OPTIONS *", a success that no target has sent: net/http answers this request before any handler. It now reaches the handler, which refuses it like every request target that is no path.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -189,7 +189,7 @@
 	g.workers.Go(func() { g.allocator.Run(allocatorCtx) })
 	g.clientServer = &http.Server{
 		Handler: http.HandlerFunc(g.serveRequest), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelDebug),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, run := range g.Background {
