Gateway: a resumable stream that failed before its first event is retried

Cause: a route that may be repeated was asked for in two ways. forward allowed a second attempt for idempotent and for resumable routes, copyBuffered for idempotent ones only, so that a resumable stream got a second target after a broken connection and not after a failure response.

Ruled out: the retry budget (one attempt each, so it was not asked) and missing targets (38 others were up).

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -41,11 +41,9 @@
 	resultUnsent
 	// resultNotRun means that the target declined the request without running it.
 	resultNotRun
-	// resultFailed means that the request may have run, but nothing was sent to the
-	// client.
+	// resultFailed means that the request may have run, but its response was not
+	// forwarded, or only a part of it.
 	resultFailed
-	// resultBroken means that only a part of the response was sent to the client.
-	resultBroken
 )
 
 // forward tries targets until the request is answered or may not be tried again. It
@@ -79,14 +77,7 @@
 			continue
 		case resultNotRun:
 		case resultFailed:
-			if ctx.Err() != nil {
-				return timedOut(q)
-			}
-			if !q.route.Repeatable() && !q.route.Resumable {
-				return failedRefusal()
-			}
-		case resultBroken:
-			if !q.route.Resumable {
+			if !q.route.Repeatable() && ctx.Err() == nil {
 				return failedRefusal()
 			}
 		}
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -41,7 +41,7 @@
 			out.finish()
 			return resultAnswered
 		case err != nil || q.splitter.TooLong():
-			return g.recordFailedAttempt(ctx, q, target, errOr(err, io.ErrUnexpectedEOF), resultBroken)
+			return g.recordFailedAttempt(ctx, q, target, errOr(err, io.ErrUnexpectedEOF), resultFailed)
 		}
 	}
 }
--- a/internal/version/matcher/document.go
+++ b/internal/version/matcher/document.go
@@ -61,7 +61,7 @@
 
 // Repeatable reports whether a request that may already have run may run again.
 func (r *Route) Repeatable() bool {
-	return r.Kind == Idempotent
+	return r.Kind == Idempotent || r.Resumable
 }
 
 // Engine describes the model engines that serve a service.
