Gateway: a target that fails requests in a row is ejected

Cause: a failure response was neither a failure nor a success for the tracker, and a target that fails at once has no running requests and no tokens to prefill, so that placement by load ranks it first.

request/ejector now holds the decision how long a target is left out: at once after a lost connection, as before, and after five failure responses in a row. Services fail some requests in normal operation: one that fails a seventh of them reaches five in a row once in some 17,000. A success of a request that was sent before the last failure response does not count as recovery, since a stream that began earlier may still end well. A 504 is not counted: the request's own time was up.

TestFailuresOfOneCrashCountOnce asks the same of the tracker as before; its bounds are now written out, as the constants have moved.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -196,7 +196,7 @@
 	if ctx.Err() != nil && q.http.Context().Err() != nil {
 		return result
 	}
-	ejection := g.tracker.recordFailure(target.ID, time.Now())
+	ejection := g.tracker.recordLoss(target.ID, time.Now())
 	g.pool.CloseIdle(target.Address)
 	logger.AttemptFailed.Log(g.Log, "request", q.ID, "target", target.ID, "revision", target.Revision, "sent", result != resultUnsent,
 		"aside", ejection, "error", err)
@@ -233,7 +233,11 @@
 // that it is not forwarded.
 func (g *Gateway) recordFailureResponse(q *request, target registrar.Entry, status int, retry bool) {
 	g.metrics.attempts.WithLabelValues("failed").Inc()
-	logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", status, "events", q.deliveredEvents, "retry", retry)
+	ejection := time.Duration(0)
+	if status != http.StatusGatewayTimeout { // the request's time is up, which is no failure of the target
+		ejection = g.tracker.recordFailure(target.ID, time.Now())
+	}
+	logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", status, "events", q.deliveredEvents, "retry", retry, "aside", ejection)
 }
 
 // copyBuffered reads a response of up to maxBufferedBytes completely before it sends
@@ -251,7 +255,7 @@
 		}
 	} else {
 		g.metrics.attempts.WithLabelValues("ok").Inc()
-		g.tracker.recordSuccess(target.ID)
+		g.tracker.recordSuccess(target.ID, q.inFlight.startedAt)
 	}
 	q.firstByteAfter = time.Since(q.startedAt)
 	g.metrics.observeFirstByte(q.route.Kind.String(), q.firstByteAfter)
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -36,7 +36,7 @@
 		switch {
 		case err == io.EOF && !q.splitter.Pending():
 			g.metrics.attempts.WithLabelValues("ok").Inc()
-			g.tracker.recordSuccess(target.ID)
+			g.tracker.recordSuccess(target.ID, q.inFlight.startedAt)
 			q.outcome = outcomeAnswered
 			out.finish()
 			return resultAnswered
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -8,13 +8,11 @@
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/process/registrar"
+	"github.com/egretroute/egretroute/internal/request/ejector"
 	"github.com/egretroute/egretroute/internal/request/placer"
 )
 
 const (
-	// minEjection and maxEjection bound how long a target that failed stays ejected.
-	minEjection = 500 * time.Millisecond
-	maxEjection = 4 * time.Second
 	// prefillSampleWeight is the weight of a new sample in the moving average of the
 	// prefill time per token, minPrefillSamples the number of samples from which the
 	// average is used. minSlowness and maxSlowness bound a target's ratio to the mean.
@@ -39,12 +37,10 @@
 	// pendingTokens is the number of prompt tokens still to be prefilled.
 	pendingTokens int64
 	// short and long count running requests; those of plain services count as short.
-	short int
-	long  int
-	// failures counts ejections in a row.
-	failures     int
-	ejectedUntil time.Time
-	prefixes     prefixCache
+	short    int
+	long     int
+	health   ejector.Health
+	prefixes prefixCache
 	// secondsPerToken is the prefill time per token: a moving average of the time to
 	// the first token, divided by the tokens to prefill until then. samples counts the
 	// requests in the average.
@@ -176,7 +172,7 @@
 		demand.Long += s.long + peers.LongRequests
 		targets[i] = placer.Target{
 			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, PendingTokens: s.pendingTokens + peers.PendingTokens,
-			Running: s.short + s.long + peers.ShortRequests + peers.LongRequests, Ejected: now.Before(s.ejectedUntil),
+			Running: s.short + s.long + peers.ShortRequests + peers.LongRequests, Ejected: s.health.Ejected(now),
 			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean),
 		}
 	}
@@ -294,29 +290,27 @@
 	s.short += n
 }
 
-// recordFailure ejects a target and returns the time until it is offered work again.
-// The ejection doubles with each failure in a row, up to maxEjection. Failures during
-// an ejection don't count, since a crash fails many requests at once.
+// recordLoss records a request without a usable response and returns the time until its
+// target is offered requests again.
+func (t *targetTracker) recordLoss(target string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.target(target).health.RecordLoss(now)
+}
+
+// recordFailure records a failure response and returns the time until the target is
+// offered requests again, or 0 if it is not ejected.
 func (t *targetTracker) recordFailure(target string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.target(target)
-	if now.Before(s.ejectedUntil) {
-		return s.ejectedUntil.Sub(now)
-	}
-	ejection := min(minEjection<<min(s.failures, 8), maxEjection)
-	s.failures++
-	s.ejectedUntil = now.Add(ejection)
-	return ejection
+	return t.target(target).health.RecordFailure(now)
 }
 
-// recordSuccess ends a target's ejection and clears its failures.
-func (t *targetTracker) recordSuccess(target string) {
+// recordSuccess records a successful response to a request that was sent at sentAt.
+func (t *targetTracker) recordSuccess(target string, sentAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.target(target)
-	s.failures = 0
-	s.ejectedUntil = time.Time{}
+	t.target(target).health.RecordSuccess(sentAt)
 }
 
 // resetTarget clears the cached prefixes, failures, ejection and prefill time that a
@@ -326,7 +320,7 @@
 	defer t.mu.Unlock()
 	s := t.target(target)
 	s.prefixes.clear()
-	s.failures, s.ejectedUntil = 0, time.Time{}
+	s.health = ejector.Health{}
 	s.secondsPerToken, s.samples = 0, 0
 }
 
--- a/internal/process/gateway/tracker_test.go
+++ b/internal/process/gateway/tracker_test.go
@@ -11,17 +11,18 @@
 
 // TestFailuresOfOneCrashCountOnce fails thirty requests of one batch at once, as a crash
 // does. The target must be tried again as soon as after one failure; if each request
-// extended the ejection, it would stay out for maxEjection.
+// extended the ejection, it would stay out for four seconds.
 func TestFailuresOfOneCrashCountOnce(t *testing.T) {
+	const minEjection = 500 * time.Millisecond
 	tracker := newTargetTracker()
 	now := time.Unix(1000, 0)
 	for range 30 {
-		assert.Assert(t, tracker.recordFailure("i-1", now) <= minEjection)
+		assert.Assert(t, tracker.recordLoss("i-1", now) <= minEjection)
 	}
 	later := now.Add(minEjection)
-	assert.Equal(t, tracker.recordFailure("i-1", later), 2*minEjection)
-	tracker.recordSuccess("i-1")
-	assert.Equal(t, tracker.recordFailure("i-1", later.Add(time.Minute)), minEjection)
+	assert.Equal(t, tracker.recordLoss("i-1", later), 2*minEjection)
+	tracker.recordSuccess("i-1", later)
+	assert.Equal(t, tracker.recordLoss("i-1", later.Add(time.Minute)), minEjection)
 }
 
 // TestRemovedTargetsArePruned checks that the state of a removed target is dropped,
