Gateway: a stream is continued only by a response of the same status and type

Callers would see a foreign body among the events, or a regular end, if a target answered a resumption with a signed success that is no stream, such as 204 or JSON. A failure response that is not a 5xx does not count towards the target's ejection. No target is known to send this.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -219,22 +219,22 @@
 	if success && (!metadata.Signed || metadata.ID != q.ID || resp.Header.Get("Content-Encoding") != "") {
 		return g.recordFailedAttempt(ctx, q, target, errors.New("the response is unsigned, encoded or belongs to another request"), resultFailed)
 	}
-	if success && q.route.Kind == matcher.Streaming {
-		return g.copyStream(ctx, out, q, target, resp)
-	}
-	if out.begun() {
+	if out.begun() && !out.continuedBy(resp.Status, resp.Header) {
 		g.recordFailureResponse(q, target, resp.Status, true)
 		return resultFailed
 	}
+	if success && q.route.Kind == matcher.Streaming {
+		return g.copyStream(ctx, out, q, target, resp)
+	}
 	return g.copyBuffered(ctx, out, q, target, resp)
 }
 
-// recordFailureResponse logs and counts a response that reports a failure; retry tells
-// that it is not forwarded.
+// recordFailureResponse logs and counts a response that is a failure or can't continue
+// the client's; retry tells that it is not forwarded.
 func (g *Gateway) recordFailureResponse(q *request, target registrar.Entry, status int, retry bool) {
 	g.metrics.attempts.WithLabelValues("failed").Inc()
 	ejection := time.Duration(0)
-	if status != http.StatusGatewayTimeout { // the request's time is up, which is no failure of the target
+	if status >= 500 && status != http.StatusGatewayTimeout { // a 504 says that the request's time is up
 		ejection = g.tracker.recordFailure(target.ID, time.Now())
 	}
 	logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", status, "events", q.deliveredEvents, "retry", retry, "aside", ejection)
--- a/internal/process/gateway/response.go
+++ b/internal/process/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"mime"
 	"net/http"
 	"strconv"
 )
@@ -22,6 +23,18 @@
 	return o.status != 0
 }
 
+// continuedBy reports whether a target's response with this status and these headers may
+// continue the response that another target has begun.
+func (o *clientResponse) continuedBy(status int, h http.Header) bool {
+	return status == o.status && mediaType(h) == mediaType(o.w.Header())
+}
+
+// mediaType returns the media type without parameters, or "" if there is none.
+func mediaType(h http.Header) string {
+	t, _, _ := mime.ParseMediaType(h.Get("Content-Type")) // malformed types count as none
+	return t
+}
+
 // begin sends the status and the headers of a body of length bytes.
 func (o *clientResponse) begin(h http.Header, status, length int) {
 	header := o.w.Header()
