Gateway: events come once in a stream that resumes

Callers would see events twice in a stream that ends as complete if the target of a resumption started from the first event, or if events had no ids, so that the resumption asked for all of them again: pieces of two runs, joined. The splitter, which knows the position of a stream, now says whether the stream has one, and whether a resumed run goes on above it. A stream without a position is not resumed, and a run that starts again is a failed attempt of which nothing is forwarded. Ids that are no numbers can't be compared and pass as before. No target is known to do this.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -77,7 +77,7 @@
 			continue
 		case resultNotRun:
 		case resultFailed:
-			if !q.route.Repeatable() && ctx.Err() == nil {
+			if again := q.route.Repeatable() && q.splitter.Resumable(); !again && ctx.Err() == nil {
 				return failedRefusal()
 			}
 		}
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -5,17 +5,22 @@
 	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 )
 
+// errRepeats is the reason of a failed resumption whose target starts the stream again.
+var errRepeats = errors.New("the resumed stream repeats events")
+
 // streamBufferBytes is the buffer size for reading a stream.
 const streamBufferBytes = 8 << 10
 
 // copyStream sends a target's stream to the client event by event, as complete events
 // arrive.
 func (g *Gateway) copyStream(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
-	q.splitter.DiscardPartial()
+	q.splitter.Resume()
 	q.status = resp.Status
 	if !out.begun() {
 		out.begin(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, unknownLength)
@@ -34,6 +39,8 @@
 			}
 		}
 		switch {
+		case q.splitter.Repeats():
+			return g.recordFailedAttempt(ctx, q, target, errRepeats, resultFailed)
 		case err == io.EOF && !q.splitter.Pending():
 			g.metrics.attempts.WithLabelValues("ok").Inc()
 			g.tracker.recordSuccess(target.ID, q.inFlight.startedAt)
--- a/internal/request/splitter/splitter.go
+++ b/internal/request/splitter/splitter.go
@@ -1,4 +1,5 @@
-// Package splitter splits a stream of server-sent events into complete events.
+// Package splitter splits a stream of server-sent events into complete events, and says
+// whether and from where the stream can resume at another target.
 //
 // # Usage
 //
@@ -6,9 +7,14 @@
 //	complete := s.Feed(chunk) // forward these bytes
 //	s.LastID                  // the Last-Event-ID to resume from
 //	s.Pending()               // true if the stream ended in the middle of an event
+//	s.Resume()                // another target goes on after LastID
+//	s.Repeats()               // true if it did not: it has sent an earlier event again
 package splitter
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // maxPartialBytes bounds the buffered part of an incomplete event; see TooLong.
 const maxPartialBytes = 1 << 20
@@ -22,6 +28,11 @@
 	Events int64
 
 	partial []byte
+	// unnumbered is set if the last event with data has no ID.
+	unnumbered bool
+	// resumed is set until the first event with an ID after Resume.
+	resumed bool
+	repeats bool
 }
 
 // Feed adds bytes of the stream and returns all events that are now complete. The
@@ -33,6 +44,9 @@
 		return nil
 	}
 	complete := s.partial[:end+2]
+	if s.repeats = s.repeats || s.startsAgain(complete); s.repeats {
+		return nil
+	}
 	s.recordEvents(complete)
 	rest := make([]byte, len(s.partial)-len(complete), max(len(s.partial)-len(complete), 512))
 	copy(rest, s.partial[end+2:])
@@ -51,9 +65,54 @@
 	return len(s.partial) > maxPartialBytes
 }
 
-// DiscardPartial drops an incomplete event, because another run will send it again.
-func (s *Splitter) DiscardPartial() {
+// Resumable reports whether LastID tells where all events so far end.
+func (s *Splitter) Resumable() bool {
+	return !s.unnumbered
+}
+
+// Resume drops an incomplete event, because another run will send it again. Events of
+// that run must have IDs above LastID.
+func (s *Splitter) Resume() {
 	s.partial = nil
+	s.resumed, s.repeats = s.LastID != "", false
+}
+
+// Repeats reports whether the stream has sent an earlier event again after Resume. Feed
+// returns no events from then on.
+func (s *Splitter) Repeats() bool {
+	return s.repeats
+}
+
+// startsAgain reports whether the first ID in events is not above LastID after Resume.
+// IDs that are no numbers can't be compared.
+func (s *Splitter) startsAgain(events []byte) bool {
+	if !s.resumed {
+		return false
+	}
+	id, ok := firstID(events)
+	if !ok {
+		return false
+	}
+	s.resumed = false
+	got, gotErr := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(s.LastID, 10, 64)
+	return gotErr == nil && lastErr == nil && got <= last
+}
+
+// firstID returns the first event ID in events.
+func firstID(events []byte) (string, bool) {
+	for line := range bytes.Lines(events) {
+		if id, ok := field(line, "id:"); ok {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// field returns the value of a line that begins with name.
+func field(line []byte, name string) (string, bool) {
+	value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte(name))
+	return string(bytes.TrimSpace(value)), ok
 }
 
 // recordEvents counts complete events and records the last event ID.
@@ -65,10 +124,10 @@
 			continue
 		}
 		s.Events++
-		for line := range bytes.Lines(event) {
-			if id, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:")); ok {
-				s.LastID = string(bytes.TrimSpace(id))
-			}
+		if id, ok := firstID(event); ok {
+			s.LastID, s.unnumbered = id, false
+		} else if bytes.HasPrefix(event, []byte("data:")) || bytes.Contains(event, []byte("\ndata:")) {
+			s.unnumbered = true
 		}
 	}
 }
