Gateway: a broken response to a client of HTTP/1.0 ends with a reset

In HTTP/1.0 a response without a length ends where its connection closes. The gateway closes the connection of a broken response, so such a client took a part for the whole. Its connection is reset instead. Clients of HTTP/1.1 see the missing last chunk and keep the regular close, which loses nothing that is on its way.

--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -100,7 +100,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	out := &clientResponse{w: w}
+	out := &clientResponse{w: w, closeDelimited: !r.ProtoAtLeast(1, 1)}
 	ref := g.handle(out, q)
 	switch {
 	case ref == nil:
--- a/internal/process/gateway/response.go
+++ b/internal/process/gateway/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"mime"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -13,6 +14,9 @@
 // once, and the client receives it as complete only if finish was called.
 type clientResponse struct {
 	w http.ResponseWriter
+	// closeDelimited is set for a client for which the end of the connection may be that
+	// of the response.
+	closeDelimited bool
 	// status is the status that was sent, or 0.
 	status   int
 	complete bool
@@ -70,7 +74,24 @@
 // end is the last call of the handler. It aborts the connection unless the response is
 // complete, as net/http ends any other response regularly, even one that never began.
 func (o *clientResponse) end() {
-	if !o.complete {
-		panic(http.ErrAbortHandler)
+	if o.complete {
+		return
 	}
+	if o.closeDelimited {
+		o.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection, which a client can tell from its regular end. The client
+// may lose bytes that it has not read yet.
+func (o *clientResponse) reset() {
+	conn, _, err := http.NewResponseController(o.w).Hijack()
+	if err != nil {
+		return // the connection is closed already
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+	_ = conn.Close()
 }
