Gateway: a router hands on its rows only when it has read them all

Callers got 503 for every request from a gateway that had started from a peer, while the store could not be reached, and reported itself as ready: the peer had read the configuration but not yet the targets, and its reply does not say so, so that no targets counted as the complete list. A router that is not ready itself now replies with nothing, which the reader knows as a seed that has only just started, and asks again.

--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -118,7 +118,7 @@
 		g.applyReport(s.Peer.Name, m)
 		_ = s.Write(g.report()) // on failure the peer sees the stream end
 	case *framer.FetchRowCache:
-		_ = s.Write(g.rowCache.message()) // on failure the peer sees the stream end
+		_ = s.Write(g.cachedRows()) // on failure the peer sees the stream end
 	case *framer.Reserve:
 		g.lend(s, m)
 	case *framer.Settle:
--- a/internal/process/gateway/rowcache.go
+++ b/internal/process/gateway/rowcache.go
@@ -58,6 +58,15 @@
 	return m
 }
 
+// cachedRows returns all cached rows for a peer, or none until this router has read them
+// all: a peer would take a part for the complete lists.
+func (g *Gateway) cachedRows() *framer.RowCache {
+	if !g.ready() {
+		return &framer.RowCache{}
+	}
+	return g.rowCache.message()
+}
+
 // fetchFromPeers fetches the seeds' cached rows until this router is ready.
 func (g *Gateway) fetchFromPeers(ctx context.Context) {
 	for ctx.Err() == nil && !g.ready() {
@@ -88,7 +97,7 @@
 	defer link.Close()
 	cached, err := linker.Call[*framer.RowCache](ctx, link, &framer.FetchRowCache{})
 	if err != nil || len(cached.Configuration) == 0 {
-		return // without a configuration, the seed has only just started itself
+		return // the seed has only just started itself
 	}
 	g.applyConfiguration(cached.Configuration)
 	if !g.targets.Synced() {
