Gateway: targets that were fetched from a peer are handed on

A gateway that starts while the store can't be reached takes its targets from a peer. It kept them for itself only, so that the next gateway that started from it got a configuration without targets and refused every request with 503. The fetched rows are now cached like those of the store; a list from the store replaces them, so that targets which left meanwhile are not handed on.

--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -161,8 +161,8 @@
 		},
 		replace: func(rows []storer.Row, stable bool) {
 			var entries []registrar.Entry
+			g.rowCache.replace(g.rowCache.targets, rows)
 			for _, row := range rows {
-				g.rowCache.put(g.rowCache.targets, row)
 				if e, ok := g.decodeTarget(row); ok {
 					entries = append(entries, e)
 				}
--- a/internal/process/gateway/rowcache.go
+++ b/internal/process/gateway/rowcache.go
@@ -44,6 +44,16 @@
 	table[row.Key] = row
 }
 
+// replace replaces all rows of one of the cache's tables.
+func (c *rowCache) replace(table map[string]storer.Row, rows []storer.Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(table)
+	for _, row := range rows {
+		table[row.Key] = row
+	}
+}
+
 // message returns all cached rows for a peer.
 func (c *rowCache) message() *framer.RowCache {
 	c.mu.Lock()
@@ -103,6 +113,7 @@
 	if !g.targets.Synced() {
 		var entries []registrar.Entry
 		for _, row := range cached.Targets {
+			g.rowCache.put(g.rowCache.targets, rowOf(row))
 			if e, ok := g.decodeTarget(rowOf(row)); ok {
 				entries = append(entries, e)
 			}
