--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -55,6 +55,10 @@
 	// IgnoreConditions makes the store ignore the conditions of commits, to test
 	// that the check of spending fails then.
 	IgnoreConditions bool
+	// Resumed is the number of times that streams were resumed, ResumedAtFailing how
+	// many of them at a target that failed; Run sets both.
+	Resumed          int
+	ResumedAtFailing int
 
 	random   *rand.Rand
 	store    *platformtest.Store
@@ -115,7 +119,9 @@
 	sleep(ctx, s.CalmDuration)
 	stopClients()
 	wg.Wait()
-	findings := s.history.Check(Bounds{AlphaBudget: s.configuration.AlphaBudget, RecoveryDeadline: recoveryDeadline}, s.runs())
+	runs := s.runs()
+	s.countResumed(runs)
+	findings := s.history.Check(Bounds{AlphaBudget: s.configuration.AlphaBudget, RecoveryDeadline: recoveryDeadline}, runs)
 	return append(findings, s.checkStops()...), nil
 }
 
@@ -209,6 +215,21 @@
 	return out
 }
 
+// countResumed counts the streams that were resumed after at least one event.
+func (s *Soak) countResumed(runs map[string][]platformtest.Run) {
+	for _, list := range runs {
+		for _, r := range list {
+			if r.LastEventID == "" {
+				continue
+			}
+			s.Resumed++
+			if r.Behaviour.IsFailure() {
+				s.ResumedAtFailing++
+			}
+		}
+	}
+}
+
 // checkStops returns the programs' findings: crashes and stops that took too long.
 func (s *Soak) checkStops() []string {
 	var found []string
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -47,6 +47,7 @@
 	}
 	findings, err := s.Run(t.Context())
 	assert.NilError(t, err)
+	t.Logf("seed %d: streams were resumed %d times, %d of them at a failing target", seed, s.Resumed, s.ResumedAtFailing)
 	if len(findings) == 0 {
 		assert.NilError(t, os.RemoveAll(dir))
 	} else {
