Soak: MIXED and WHOLE judge every response that ends as complete

Cause: WHOLE did not judge a stream whose rest was foreign, since the client reports an error for it, and bodies were judged for status 200 only.

What the change shows: WHOLE depends on how the response is framed, not on its content, so a failure written into a stream is both MIXED and WHOLE. A body that is a part of the own one is WHOLE instead of MIXED; each finding of before is still one.

--- a/internal/trial/soaker/history.go
+++ b/internal/trial/soaker/history.go
@@ -101,15 +101,25 @@
 	return ""
 }
 
-// checkOwnResponse finds responses that belong to another request.
+// checkOwnResponse finds responses that are not the request's own, and bodies that
+// are framed as complete and aren't.
 func checkOwnResponse(s Observation, _ []platformtest.Run) string {
 	if s.Response.HasForeignEvent() {
-		return "mixed: the stream contains an event of another request"
+		return fmt.Sprintf("mixed: %v", s.Response.Err)
 	}
-	if !s.Request.IsStream() && s.Response.Status == http.StatusOK && s.Response.Err == nil && s.Response.Body != "answer of "+s.Request.ID {
-		return fmt.Sprintf("mixed: the body is %q", s.Response.Body)
+	own := "answer of " + s.Request.ID
+	if s.Response.Status != http.StatusOK {
+		own = "failure of " + s.Request.ID
+	}
+	ofTarget := s.Response.Signed || s.Response.Status == http.StatusOK
+	switch body := s.Response.Body; {
+	case !ofTarget || !s.Response.Ended || body == own || (s.Request.IsStream() && s.Response.Status == http.StatusOK):
+		return ""
+	case strings.HasPrefix(own, body):
+		return fmt.Sprintf("whole: the body ended without an error after %d of %d bytes", len(body), len(own))
+	default:
+		return fmt.Sprintf("mixed: the body is %q", body)
 	}
-	return ""
 }
 
 // checkStream finds streams with events out of order, and streams that end
@@ -120,7 +130,7 @@
 			return fmt.Sprintf("order: events %v", s.Response.Events)
 		}
 	}
-	if s.Request.IsStream() && s.Response.Status == http.StatusOK && s.Response.Err == nil && len(s.Response.Events) != eventsPerStream {
+	if s.Request.IsStream() && s.Response.Status == http.StatusOK && s.Response.Ended && len(s.Response.Events) != eventsPerStream {
 		return fmt.Sprintf("whole: the stream ended without an error after %d of %d events", len(s.Response.Events), eventsPerStream)
 	}
 	return ""
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -119,8 +119,11 @@
 				assert.Equal(t, len(found), 0, "%v", found)
 				return
 			}
-			assert.Equal(t, len(found), 1, "%v", found)
-			assert.Assert(t, strings.HasPrefix(found[0], want), found[0])
+			wants := strings.Fields(want)
+			assert.Equal(t, len(found), len(wants), "%v", found)
+			for i := range wants {
+				assert.Assert(t, strings.HasPrefix(found[i], wants[i]), found[i])
+			}
 		})
 	}
 }
@@ -133,6 +136,7 @@
 func parseObservation(t *testing.T, id, line string, runs map[string][]platformtest.Run) soaker.Observation {
 	t.Helper()
 	s := soaker.Observation{Request: platformtest.Request{ID: id, Key: "alpha-key", Timeout: 2 * time.Second}, Gateway: "g@1", StartedAt: at(0), EndedAt: at(1)}
+	s.Response.Ended = true
 	for _, field := range strings.Fields(line) {
 		name, value, _ := strings.Cut(field, "=")
 		number, _ := strconv.ParseFloat(value, 64) // only numeric fields use it
@@ -146,10 +150,12 @@
 		case "signed":
 			s.Response.Signed = true
 		case "body":
-			s.Response.Body = "answer of " + map[string]string{"own": id, "other": "r99"}[value]
+			s.Response.Body = map[string]string{"own": "answer of " + id, "other": "answer of r99", "short": "answer", "failure": "failure of " + id, "cut": "failure"}[value]
 		case "events":
 			s.Response.Events = parseEvents(value)
 		case "error":
+			s.Response.Err, s.Response.Ended = platformtest.ErrForeignEvent, false
+		case "foreign":
 			s.Response.Err = platformtest.ErrForeignEvent
 		case "retry":
 			s.Response.RetryAfter = value
