Soak: fault "crash and failures"

What the change shows: some targets of a service break off their streams while the others fail requests in ten ways in turn. The fault is drawn from a sequence of its own, so the faults that a seed drew before, among them those of testdata/regressions.txt, are unchanged.

--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +13,7 @@
 )
 
 // healthyBehaviour is the behaviour of targets without faults.
-var healthyBehaviour = platformtest.Behaviour{Events: 8, EventInterval: 15 * time.Millisecond}
+var healthyBehaviour = platformtest.Behaviour{Events: eventsPerStream, EventInterval: 15 * time.Millisecond}
 
 const (
 	// minFault and maxFault limit the duration of a fault, maxGap the time between
@@ -86,6 +88,55 @@
 	{"configuration", func(s *Soak, random *rand.Rand) func() { s.reconfigure(random); return nil }},
 }
 
+// laterFaults are drawn from a sequence of their own, so that the seeds that failed
+// before this list existed still draw the same faults.
+var laterFaults = []fault{
+	{"crash and failures", func(s *Soak, random *rand.Rand) func() { return s.crashAndFail(random) }},
+}
+
+// failures are the ways in which a failing target responds in turn, in a random order.
+var failures = []platformtest.Behaviour{
+	{Fail: true},
+	{Fail: true, Status: http.StatusTooManyRequests},
+	{Full: true},
+	{Unsigned: true, Events: eventsPerStream},
+	{NoResponse: true},
+	{Reset: true},
+	{Fail: true, Truncated: true},
+	{Truncated: true, Events: eventsPerStream},
+	{Fail: true, Spoiled: true},
+	{Spoiled: true, Events: eventsPerStream},
+}
+
+// crashAndFail lets some targets of a service break off their streams and the others
+// fail requests, so that streams are resumed at failing targets.
+func (s *Soak) crashAndFail(random *rand.Rand) func() {
+	service := pick(random, s.targets).standin.Service
+	var targets []*platformtest.Target
+	for _, t := range s.targets {
+		if t.standin.Service == service {
+			targets = append(targets, t.standin)
+		}
+	}
+	random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	crashing := 1 + random.IntN(max(len(targets)-1, 1))
+	for i, t := range targets {
+		behaviours := slices.Clone(failures)
+		random.Shuffle(len(behaviours), func(i, j int) { behaviours[i], behaviours[j] = behaviours[j], behaviours[i] })
+		if i < crashing {
+			behaviours = []platformtest.Behaviour{healthyBehaviour}
+			behaviours[0].ResetAfter = 1 + random.IntN(eventsPerStream-1)
+		}
+		s.logEvent(t.ID, fmt.Sprintf("%+v", behaviours))
+		t.SetBehaviour(behaviours...)
+	}
+	return func() {
+		for _, t := range targets {
+			t.SetBehaviour(healthyBehaviour)
+		}
+	}
+}
+
 func pick[T any](random *rand.Rand, items []T) T {
 	return items[random.IntN(len(items))]
 }
@@ -157,10 +208,23 @@
 func (s *Soak) injectFaults(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
-		f := pick(s.random, faults)
-		duration := minFault + randomDuration(s.random, maxFault-minFault)
-		random := rand.New(rand.NewPCG(s.Seed, s.random.Uint64()))
+	end := time.Now().Add(s.FaultDuration)
+	wg.Go(func() {
+		random := rand.New(rand.NewPCG(s.Seed, 2))
+		// One fault of this list is to be about as frequent as one of the other.
+		gap := maxGap * time.Duration(len(faults)) / time.Duration(len(laterFaults))
+		sleep(ctx, randomDuration(random, gap))
+		s.injectSequence(ctx, &wg, end, random, laterFaults, gap)
+	})
+	s.injectSequence(ctx, &wg, end, s.random, faults, maxGap)
+}
+
+// injectSequence starts random faults of a list until end.
+func (s *Soak) injectSequence(ctx context.Context, wg *sync.WaitGroup, end time.Time, sequence *rand.Rand, list []fault, gap time.Duration) {
+	for time.Now().Before(end) && ctx.Err() == nil {
+		f := pick(sequence, list)
+		duration := minFault + randomDuration(sequence, maxFault-minFault)
+		random := rand.New(rand.NewPCG(s.Seed, sequence.Uint64()))
 		s.logEvent("begin "+f.name, duration.String())
 		wg.Go(func() {
 			endFault := f.begin(s, random)
@@ -170,7 +234,7 @@
 			}
 			s.logEvent("end "+f.name, "")
 		})
-		sleep(ctx, randomDuration(s.random, maxGap))
+		sleep(ctx, randomDuration(sequence, gap))
 	}
 }
 
