Gateway logs: a client that leaves is no failure of its target

It is now callerGone, as before the first event. Line 332 said retry=true on last attempts: it now says whether the response was forwarded. The status of 340 and 341 is again that of the last target, also of a failed resumption. Line 334 is written when the other target has accepted the resumption, not before it was dialed.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -63,10 +63,6 @@
 		if ref := g.refuseIfTooLate(q, out, shape, target, now); ref != nil {
 			return ref
 		}
-		if out.begun() {
-			logger.StreamResumed.Log(g.Log, "request", q.ID, "target", target.ID, "after", q.splitter.LastID, "events", q.deliveredEvents,
-				"from", q.targetID, "sends", q.attempts)
-		}
 		q.triedTargets[target.ID] = true
 		q.targetID = target.ID
 		switch g.attempt(ctx, out, q, shape, target) {
@@ -206,6 +202,7 @@
 // copyResponse checks a target's response and sends it to the client.
 func (g *Gateway) copyResponse(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
 	metadata := g.HeaderCodec.DecodeResponse(resp.Status, resp.Header)
+	q.status = resp.Status
 	if metadata.NotRun {
 		g.metrics.attempts.WithLabelValues("notRun").Inc()
 		logger.TargetRefused.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status, "revision", target.Revision)
@@ -220,7 +217,7 @@
 		return g.recordFailedAttempt(ctx, q, target, errors.New("the response is unsigned, encoded or belongs to another request"), resultFailed)
 	}
 	if out.begun() && !out.continuedBy(resp.Status, resp.Header) {
-		g.recordFailureResponse(q, target, resp.Status, true)
+		g.recordFailureResponse(q, target, resp.Status, false)
 		return resultFailed
 	}
 	if success && q.route.Kind == matcher.Streaming {
@@ -230,14 +227,14 @@
 }
 
 // recordFailureResponse logs and counts a response that is a failure or can't continue
-// the client's; retry tells that it is not forwarded.
-func (g *Gateway) recordFailureResponse(q *request, target registrar.Entry, status int, retry bool) {
+// the client's.
+func (g *Gateway) recordFailureResponse(q *request, target registrar.Entry, status int, forwarded bool) {
 	g.metrics.attempts.WithLabelValues("failed").Inc()
 	ejection := time.Duration(0)
 	if status >= 500 && status != http.StatusGatewayTimeout { // a 504 says that the request's time is up
 		ejection = g.tracker.recordFailure(target.ID, time.Now())
 	}
-	logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", status, "events", q.deliveredEvents, "retry", retry, "aside", ejection)
+	logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", status, "events", q.deliveredEvents, "forwarded", forwarded, "aside", ejection)
 }
 
 // copyBuffered reads a response of up to maxBufferedBytes completely before it sends
@@ -249,7 +246,7 @@
 	}
 	if resp.Status >= 500 {
 		retry := q.route.Repeatable() && q.attempts < q.route.MaxAttempts
-		g.recordFailureResponse(q, target, resp.Status, retry)
+		g.recordFailureResponse(q, target, resp.Status, !retry)
 		if retry {
 			return resultFailed
 		}
@@ -259,7 +256,7 @@
 	}
 	q.firstByteAfter = time.Since(q.startedAt)
 	g.metrics.observeFirstByte(q.route.Kind.String(), q.firstByteAfter)
-	q.status, q.outcome = resp.Status, outcomeAnswered
+	q.outcome = outcomeAnswered
 	length := len(body)
 	switch {
 	case q.http.Method == http.MethodHead:
@@ -270,7 +267,7 @@
 	out.begin(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, length)
 	err = out.write(body)
 	if err == nil && length == unknownLength {
-		_, err = io.Copy(out.w, resp)
+		err = out.copy(resp)
 	}
 	if err != nil {
 		q.outcome = outcomeBroken
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -105,6 +105,9 @@
 	switch {
 	case ref == nil:
 		g.logOutcome(out, q)
+	case r.Context().Err() != nil:
+		q.outcome = outcomeDisconnected
+		g.logOutcome(out, q)
 	case out.begun():
 		q.outcome = outcomeBroken
 		g.logOutcome(out, q, "reason", ref.reason)
@@ -306,11 +309,6 @@
 
 // refuse sends a refusal to the client and logs the outcome.
 func (g *Gateway) refuse(out *clientResponse, q *request, ref *refusal) {
-	if q.http.Context().Err() != nil {
-		q.outcome = outcomeDisconnected
-		g.logOutcome(out, q)
-		return
-	}
 	h := make(http.Header)
 	switch ref.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
--- a/internal/process/gateway/response.go
+++ b/internal/process/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"mime"
 	"net"
 	"net/http"
@@ -10,8 +11,8 @@
 // unknownLength is the length of a body that is sent in chunks.
 const unknownLength = -1
 
-// clientResponse is the response to one request, and its only writer. It begins at most
-// once, and the client receives it as complete only if finish was called.
+// clientResponse writes the response to one request. The client receives it as complete
+// only if finish was called.
 type clientResponse struct {
 	w http.ResponseWriter
 	// closeDelimited is set for a client for which the end of the connection may be that
@@ -61,6 +62,12 @@
 	return err
 }
 
+// copy sends the rest of the body from r.
+func (o *clientResponse) copy(r io.Reader) error {
+	_, err := io.Copy(o.w, r)
+	return err
+}
+
 // flush sends what net/http has buffered.
 func (o *clientResponse) flush() error {
 	return http.NewResponseController(o.w).Flush()
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
+	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 )
 
@@ -21,8 +22,9 @@
 // arrive.
 func (g *Gateway) copyStream(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
 	q.splitter.Resume()
-	q.status = resp.Status
-	if !out.begun() {
+	if out.begun() {
+		logger.StreamResumed.Log(g.Log, "request", q.ID, "target", target.ID, "after", q.splitter.LastID, "events", q.deliveredEvents, "sends", q.attempts)
+	} else {
 		out.begin(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, unknownLength)
 	}
 	if err := out.flush(); err != nil {
