Soak: programs listen where nothing else can take their port

Each program now gets a loopback IP of its own, with a port that depends on the process of the soak.

--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -22,7 +22,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -148,7 +147,7 @@
 	}
 	addresses := make([]string, s.Gateways)
 	for i := range addresses {
-		addresses[i] = freeAddress()
+		addresses[i] = newAddress()
 	}
 	for i := range s.Gateways {
 		if err := s.addProgram(fmt.Sprintf("gateway-%d", i), "gateway", addresses[i], addresses); err != nil {
@@ -156,7 +155,7 @@
 		}
 	}
 	for i := range s.Companions {
-		if err := s.addProgram(fmt.Sprintf("companion-%d", i), "companion", freeAddress(), nil); err != nil {
+		if err := s.addProgram(fmt.Sprintf("companion-%d", i), "companion", newAddress(), nil); err != nil {
 			return err
 		}
 	}
@@ -176,7 +175,7 @@
 	}
 	p := &program{
 		name: name, kind: kind, binary: s.Binary, dir: s.Dir, fleetAddress: fleetAddress, seeds: seeds, storeProxy: storeProxy,
-		callerAddress: freeAddress(), readyAddress: freeAddress(), retrySlack: 50,
+		callerAddress: newAddress(), readyAddress: newAddress(), retrySlack: 50,
 	}
 	s.programs = append(s.programs, p)
 	return p.start()
@@ -239,16 +238,6 @@
 	return found
 }
 
-// freeAddress returns a loopback address that is probably free.
-func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0" // the program that gets it will fail to start
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
