Agent: a fence that comes before the first run holds

An agent that was fenced against a payer before it had run anything accepted that payer's parts afterwards: the first begin made the map of fences anew. A payer that counts as dead could run requests whose bills nobody collects. Only fence makes that map now.

--- a/internal/process/agent/bills.go
+++ b/internal/process/agent/bills.go
@@ -50,7 +50,6 @@
 	if t.running == nil {
 		t.running = make(map[partKey]framer.Part)
 		t.pending = make(map[partKey]pendingBill)
-		t.fenced = make(map[string]bool)
 	}
 	for _, p := range parts {
 		k := partKey{p.Payer, p.Sequence}
