Agent: a request that may run only once gets a connection of its own

A service received an order with an empty body, or a GET that its client had declared as non-idempotent, twice: net/http repeats a request without a body by itself when a reused connection breaks before the response.

Such requests no longer use a reused connection, as in the gateway; on a new one net/http never repeats. It costs a connection for each order.

--- a/internal/process/agent/service.go
+++ b/internal/process/agent/service.go
@@ -15,12 +15,17 @@
 	url  string
 	name string
 	http *http.Client
+	// once opens a connection for each request, for those that may run only once:
+	// net/http repeats some requests by itself when a reused connection breaks.
+	once *http.Client
 }
 
 // NewService returns the Backend of the plain service at url.
 func NewService(url, name string) Backend {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64}
-	return &service{url: url, name: name, http: &http.Client{Transport: transport}}
+	return &service{
+		url: url, name: name, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		once: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
 }
 
 // Service implements Backend.Service.
@@ -44,8 +49,12 @@
 	if err != nil {
 		return Usage{}, errors.Wrap(ErrNotReached, err.Error())
 	}
-	// Without GetBody, net/http never retries a request that has a body.
+	// Without GetBody, net/http never repeats a request that has a body.
 	req.GetBody = nil
+	client := b.http
+	if run.NonIdempotent {
+		client = b.once
+	}
 	if run.ContentType != "" {
 		req.Header.Set("Content-Type", run.ContentType)
 	}
@@ -53,7 +62,7 @@
 		req.Header.Set("Idempotency-Key", run.Key)
 	}
 	usage := Usage{Fixed: run.Cost}
-	resp, err := b.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		if notReached(err) {
 			return Usage{}, errors.Wrap(ErrNotReached, err.Error())
--- a/internal/process/agent/service_test.go
+++ b/internal/process/agent/service_test.go
@@ -47,9 +47,15 @@
 
 // TestEmptyOrderIsSentOnce sends two orders without a body to a service that closes the
 // reused connection after it has read the second one. The second order may have been run
-// and must not be sent again, but net/http repeats a POST by itself if it has an
-// Idempotency-Key and no body.
+// and must not be sent again, but net/http repeats a GET without a body by itself, and a
+// POST if it has an Idempotency-Key.
 func TestEmptyOrderIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) { testEmptyOrder(t, method) })
+	}
+}
+
+func testEmptyOrder(t *testing.T, method string) {
 	var received atomic.Int64
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		if received.Add(1) == 2 {
@@ -61,7 +67,7 @@
 	defer cancel()
 	backend := NewService(srv.URL, "orders")
 	order := func(key string) error {
-		run := &framer.Run{Method: http.MethodPost, Path: "/orders", Key: key, NonIdempotent: true}
+		run := &framer.Run{Method: method, Path: "/orders", Key: key, NonIdempotent: true}
 		_, err := backend.Execute(ctx, run, discardSink{})
 		return err
 	}
