Router: a live agent is not revoked for good

Callers of orders got not-run, no-target for 30 s and more after an agent had restarted.

A revocation is a promise to a recoverer, which releases the agent's slots on condition of the versions that it read before it asked. It may end as soon as no such commit can succeed any more: when the agent has written all its slots since the router's first read after the promise. Agents do that every 10 s while no claim is uncommitted. Ruled out: that a router writes the rows itself, since their versions also tell since when an owner has had no uncommitted claims.

--- a/internal/process/router/dispatches.go
+++ b/internal/process/router/dispatches.go
@@ -30,7 +30,16 @@
 type dispatches struct {
 	mu      sync.Mutex                           // guards all below
 	byAgent map[string]map[claimer.Key]*dispatch // by the agent's incarnation
-	revoked map[string]bool                      // by the agent's incarnation
+	revoked map[string]*revocation               // by the agent's incarnation
+}
+
+// revocation is the promise to dispatch nothing more to an agent's incarnation.
+type revocation struct {
+	at time.Time
+	// read is set once the slots were read after the promise; highestVersion is the
+	// highest version that the agent's slots had then.
+	read           bool
+	highestVersion uint64
 }
 
 // begin records a dispatch before the request is sent and stores a copy at a
@@ -51,14 +60,14 @@
 	if d, ok := ds.byAgent[agent][key]; ok {
 		d.backup = backup
 	}
-	return !ds.revoked[agent]
+	return ds.revoked[agent] == nil
 }
 
 // add records a dispatch unless the agent has been revoked.
 func (ds *dispatches) add(agent string, record framer.Dispatch) bool {
 	ds.mu.Lock()
 	defer ds.mu.Unlock()
-	if ds.revoked[agent] {
+	if ds.revoked[agent] != nil {
 		return false
 	}
 	if ds.byAgent == nil {
@@ -151,18 +160,51 @@
 	}
 }
 
-// revoke guarantees that nothing more is dispatched to an agent's incarnation, and
-// lists the dispatches that it may have run.
+// revoke guarantees that nothing more is dispatched to an agent's incarnation until
+// restore, and lists the dispatches that it may have run.
 func (ds *dispatches) revoke(agent string) *framer.AgentRevoked {
 	ds.mu.Lock()
 	defer ds.mu.Unlock()
 	if ds.revoked == nil {
-		ds.revoked = make(map[string]bool)
+		ds.revoked = make(map[string]*revocation)
 	}
-	ds.revoked[agent] = true
+	ds.revoked[agent] = &revocation{at: time.Now()}
 	out := &framer.AgentRevoked{}
 	for _, d := range ds.byAgent[agent] {
 		out.Dispatches = append(out.Dispatches, d.record)
 	}
 	return out
 }
+
+// restore ends the revocation of agents that are up and have written all their slots
+// since. slots were read from readAt on. A recoverer that relies on the revocation read
+// older versions of the slots, so it can't release them any more.
+func (ds *dispatches) restore(slots []claimer.SlotRow, readAt time.Time, isUp func(incarnation string) bool) {
+	ds.mu.Lock()
+	defer ds.mu.Unlock()
+	for agent, revoked := range ds.revoked {
+		lowest, highest := versionRange(slots, agent)
+		switch {
+		case !readAt.After(revoked.at):
+		case !revoked.read:
+			revoked.read, revoked.highestVersion = true, highest
+		case lowest > revoked.highestVersion && isUp(agent):
+			delete(ds.revoked, agent)
+		}
+	}
+}
+
+// versionRange returns the lowest and the highest version of the slots of an agent's
+// incarnation, or zeros if it has none.
+func versionRange(slots []claimer.SlotRow, agent string) (lowest, highest uint64) {
+	for _, s := range slots {
+		if s.Owner.Incarnation != agent {
+			continue
+		}
+		if lowest == 0 || s.Version < lowest {
+			lowest = s.Version
+		}
+		highest = max(highest, s.Version)
+	}
+	return lowest, highest
+}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -34,6 +34,7 @@
 	"github.com/egretroute/egretroute/internal/process/storer"
 	"github.com/egretroute/egretroute/internal/process/treasurer"
 	"github.com/egretroute/egretroute/internal/request/chooser"
+	"github.com/egretroute/egretroute/internal/request/claimer"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 	"github.com/egretroute/egretroute/internal/version/declarer"
 	"github.com/egretroute/egretroute/internal/version/follower"
@@ -121,6 +122,9 @@
 	go r.followLoop(background)
 	go r.recovery.Run(background)
 	go r.auditor.run(background)
+	r.slotOwners.onRead = func(rows []claimer.SlotRow, readAt time.Time) {
+		r.dispatches.restore(rows, readAt, r.agents.IncarnationUp)
+	}
 	go r.slotOwners.run(background, r.Table, r.serviceCount)
 	clientServer := &http.Server{Handler: r.clientAPI(), ReadHeaderTimeout: headerTimeout}
 	served := make(chan error, 1)
--- a/internal/process/router/slot_owners.go
+++ b/internal/process/router/slot_owners.go
@@ -34,6 +34,9 @@
 //
 // A router that has not read the rows since it registered dispatches nothing.
 type slotOwners struct {
+	// onRead is called with the rows of each read and the time from which they were read.
+	onRead func(rows []claimer.SlotRow, readAt time.Time)
+
 	mu     sync.RWMutex // guards all below
 	bySlot map[slotID]claimer.Owner
 	wake   chan struct{}
@@ -69,6 +72,7 @@
 func (o *slotOwners) refresh(ctx context.Context, table storer.Table) {
 	ctx, cancel := context.WithTimeout(ctx, ownersReadTimeout)
 	defer cancel()
+	readAt := time.Now()
 	rows, err := claimer.ReadSlots(ctx, table, "")
 	if err != nil {
 		return
@@ -78,8 +82,9 @@
 		bySlot[slotID{row.Service, row.Slot}] = row.Owner
 	}
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.bySlot = bySlot
+	o.mu.Unlock()
+	o.onRead(rows, readAt)
 }
 
 // requestRefresh makes run read the owners again soon.
