Test: a frozen process has stopped before the test goes on

TestOrdersWhilePlatformIsFrozen failed in 2 of 9 runs beside 12 busy processes: kill returns before a process has stopped, so the platform's stand-in still committed two claims after SIGSTOP, and a repeated order was answered where unknown was expected. No check of the test changed.

--- a/examples/small/small_test.go
+++ b/examples/small/small_test.go
@@ -110,8 +110,33 @@
 	return pid
 }
 
+// signal signals a process. After SIGSTOP it waits until all threads have stopped: kill
+// returns before.
 func (s *fleet) signal(name string, sig syscall.Signal) {
-	assert.NilError(s.t, syscall.Kill(s.pid(name), sig))
+	pid := s.pid(name)
+	assert.NilError(s.t, syscall.Kill(pid, sig))
+	if sig == syscall.SIGSTOP {
+		poll.WaitOn(s.t, func(poll.LogT) poll.Result { return isStopped(pid) }, poll.WithDelay(time.Millisecond))
+	}
+}
+
+// isStopped checks that all threads of a process have stopped.
+func isStopped(pid int) poll.Result {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return poll.Error(fmt.Errorf("process %d has no threads: %v", pid, err))
+	}
+	for _, name := range threads {
+		stat, err := os.ReadFile(name)
+		if err != nil {
+			continue // the thread has ended
+		}
+		_, fields, _ := strings.Cut(string(stat), ") ") // after the name of the program
+		if !strings.HasPrefix(fields, "T") {
+			return poll.Continue("%s: %s", name, fields)
+		}
+	}
+	return poll.Success()
 }
 
 // trySignal signals a process that another fault may have killed.
