--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -41,11 +41,9 @@
 	resultUnsent
 	// resultNotRun means that the target declined the request without running it.
 	resultNotRun
-	// resultFailed means that the request may have run, but nothing was sent to the
-	// client.
+	// resultFailed means that the request may have run, but its response was not
+	// forwarded, or only a part of it.
 	resultFailed
-	// resultBroken means that only a part of the response was sent to the client.
-	resultBroken
 )
 
 // forward tries targets until the request is answered or may not be tried again. It
@@ -65,10 +63,6 @@
 		if ref := g.refuseIfTooLate(q, out, shape, target, now); ref != nil {
 			return ref
 		}
-		if out.begun() {
-			logger.StreamResumed.Log(g.Log, "request", q.ID, "target", target.ID, "after", q.splitter.LastID, "events", q.deliveredEvents,
-				"from", q.targetID, "sends", q.attempts)
-		}
 		q.triedTargets[target.ID] = true
 		q.targetID = target.ID
 		switch g.attempt(ctx, out, q, shape, target) {
@@ -79,14 +73,7 @@
 			continue
 		case resultNotRun:
 		case resultFailed:
-			if ctx.Err() != nil {
-				return timedOut(q)
-			}
-			if !q.route.Repeatable() && !q.route.Resumable {
-				return failedRefusal()
-			}
-		case resultBroken:
-			if !q.route.Resumable {
+			if again := q.route.Repeatable() && q.splitter.Resumable(); !again && ctx.Err() == nil {
 				return failedRefusal()
 			}
 		}
@@ -205,7 +192,7 @@
 	if ctx.Err() != nil && q.http.Context().Err() != nil {
 		return result
 	}
-	ejection := g.tracker.recordFailure(target.ID, time.Now())
+	ejection := g.tracker.recordLoss(target.ID, time.Now())
 	g.pool.CloseIdle(target.Address)
 	logger.AttemptFailed.Log(g.Log, "request", q.ID, "target", target.ID, "revision", target.Revision, "sent", result != resultUnsent,
 		"aside", ejection, "error", err)
@@ -215,6 +202,7 @@
 // copyResponse checks a target's response and sends it to the client.
 func (g *Gateway) copyResponse(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
 	metadata := g.HeaderCodec.DecodeResponse(resp.Status, resp.Header)
+	q.status = resp.Status
 	if metadata.NotRun {
 		g.metrics.attempts.WithLabelValues("notRun").Inc()
 		logger.TargetRefused.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status, "revision", target.Revision)
@@ -228,21 +216,25 @@
 	if success && (!metadata.Signed || metadata.ID != q.ID || resp.Header.Get("Content-Encoding") != "") {
 		return g.recordFailedAttempt(ctx, q, target, errors.New("the response is unsigned, encoded or belongs to another request"), resultFailed)
 	}
+	if out.begun() && !out.continuedBy(resp.Status, resp.Header) {
+		g.recordFailureResponse(q, target, resp.Status, false)
+		return resultFailed
+	}
 	if success && q.route.Kind == matcher.Streaming {
 		return g.copyStream(ctx, out, q, target, resp)
 	}
-	if out.begun() {
-		g.recordFailureResponse(q, target, resp.Status, true)
-		return resultFailed
-	}
 	return g.copyBuffered(ctx, out, q, target, resp)
 }
 
-// recordFailureResponse logs and counts a response that reports a failure; retry tells
-// that it is not forwarded.
-func (g *Gateway) recordFailureResponse(q *request, target registrar.Entry, status int, retry bool) {
+// recordFailureResponse logs and counts a response that is a failure or can't continue
+// the client's.
+func (g *Gateway) recordFailureResponse(q *request, target registrar.Entry, status int, forwarded bool) {
 	g.metrics.attempts.WithLabelValues("failed").Inc()
-	logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", status, "events", q.deliveredEvents, "retry", retry)
+	ejection := time.Duration(0)
+	if status >= 500 && status != http.StatusGatewayTimeout { // a 504 says that the request's time is up
+		ejection = g.tracker.recordFailure(target.ID, time.Now())
+	}
+	logger.TargetFailed.Log(g.Log, "request", q.ID, "target", target.ID, "status", status, "events", q.deliveredEvents, "forwarded", forwarded, "aside", ejection)
 }
 
 // copyBuffered reads a response of up to maxBufferedBytes completely before it sends
@@ -254,17 +246,17 @@
 	}
 	if resp.Status >= 500 {
 		retry := q.route.Repeatable() && q.attempts < q.route.MaxAttempts
-		g.recordFailureResponse(q, target, resp.Status, retry)
+		g.recordFailureResponse(q, target, resp.Status, !retry)
 		if retry {
 			return resultFailed
 		}
 	} else {
 		g.metrics.attempts.WithLabelValues("ok").Inc()
-		g.tracker.recordSuccess(target.ID)
+		g.tracker.recordSuccess(target.ID, q.inFlight.startedAt)
 	}
 	q.firstByteAfter = time.Since(q.startedAt)
 	g.metrics.observeFirstByte(q.route.Kind.String(), q.firstByteAfter)
-	q.status, q.outcome = resp.Status, outcomeAnswered
+	q.outcome = outcomeAnswered
 	length := len(body)
 	switch {
 	case q.http.Method == http.MethodHead:
@@ -275,7 +267,7 @@
 	out.begin(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, length)
 	err = out.write(body)
 	if err == nil && length == unknownLength {
-		_, err = io.Copy(out.w, resp)
+		err = out.copy(resp)
 	}
 	if err != nil {
 		q.outcome = outcomeBroken
--- a/internal/process/gateway/response.go
+++ b/internal/process/gateway/response.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"io"
+	"mime"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -8,10 +11,13 @@
 // unknownLength is the length of a body that is sent in chunks.
 const unknownLength = -1
 
-// clientResponse is the response to one request, and its only writer. It begins at most
-// once, and the client receives it as complete only if finish was called.
+// clientResponse writes the response to one request. The client receives it as complete
+// only if finish was called.
 type clientResponse struct {
 	w http.ResponseWriter
+	// closeDelimited is set for a client for which the end of the connection may be that
+	// of the response.
+	closeDelimited bool
 	// status is the status that was sent, or 0.
 	status   int
 	complete bool
@@ -22,6 +28,18 @@
 	return o.status != 0
 }
 
+// continuedBy reports whether a target's response with this status and these headers may
+// continue the response that another target has begun.
+func (o *clientResponse) continuedBy(status int, h http.Header) bool {
+	return status == o.status && mediaType(h) == mediaType(o.w.Header())
+}
+
+// mediaType returns the media type without parameters, or "" if there is none.
+func mediaType(h http.Header) string {
+	t, _, _ := mime.ParseMediaType(h.Get("Content-Type")) // malformed types count as none
+	return t
+}
+
 // begin sends the status and the headers of a body of length bytes.
 func (o *clientResponse) begin(h http.Header, status, length int) {
 	header := o.w.Header()
@@ -44,6 +62,12 @@
 	return err
 }
 
+// copy sends the rest of the body from r.
+func (o *clientResponse) copy(r io.Reader) error {
+	_, err := io.Copy(o.w, r)
+	return err
+}
+
 // flush sends what net/http has buffered.
 func (o *clientResponse) flush() error {
 	return http.NewResponseController(o.w).Flush()
@@ -57,7 +81,24 @@
 // end is the last call of the handler. It aborts the connection unless the response is
 // complete, as net/http ends any other response regularly, even one that never began.
 func (o *clientResponse) end() {
-	if !o.complete {
-		panic(http.ErrAbortHandler)
+	if o.complete {
+		return
+	}
+	if o.closeDelimited {
+		o.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection, which a client can tell from its regular end. The client
+// may lose bytes that it has not read yet.
+func (o *clientResponse) reset() {
+	conn, _, err := http.NewResponseController(o.w).Hijack()
+	if err != nil {
+		return // the connection is closed already
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
 	}
+	_ = conn.Close()
 }
--- a/internal/process/gateway/rowcache.go
+++ b/internal/process/gateway/rowcache.go
@@ -44,6 +44,16 @@
 	table[row.Key] = row
 }
 
+// replace replaces all rows of one of the cache's tables.
+func (c *rowCache) replace(table map[string]storer.Row, rows []storer.Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(table)
+	for _, row := range rows {
+		table[row.Key] = row
+	}
+}
+
 // message returns all cached rows for a peer.
 func (c *rowCache) message() *framer.RowCache {
 	c.mu.Lock()
@@ -58,6 +68,15 @@
 	return m
 }
 
+// cachedRows returns all cached rows for a peer, or none until this router has read them
+// all: a peer would take a part for the complete lists.
+func (g *Gateway) cachedRows() *framer.RowCache {
+	if !g.ready() {
+		return &framer.RowCache{}
+	}
+	return g.rowCache.message()
+}
+
 // fetchFromPeers fetches the seeds' cached rows until this router is ready.
 func (g *Gateway) fetchFromPeers(ctx context.Context) {
 	for ctx.Err() == nil && !g.ready() {
@@ -88,12 +107,13 @@
 	defer link.Close()
 	cached, err := linker.Call[*framer.RowCache](ctx, link, &framer.FetchRowCache{})
 	if err != nil || len(cached.Configuration) == 0 {
-		return // without a configuration, the seed has only just started itself
+		return // the seed has only just started itself
 	}
 	g.applyConfiguration(cached.Configuration)
 	if !g.targets.Synced() {
 		var entries []registrar.Entry
 		for _, row := range cached.Targets {
+			g.rowCache.put(g.rowCache.targets, rowOf(row))
 			if e, ok := g.decodeTarget(rowOf(row)); ok {
 				entries = append(entries, e)
 			}
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -5,19 +5,26 @@
 	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
+	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 )
 
+// errRepeats is the reason of a failed resumption whose target starts the stream again.
+var errRepeats = errors.New("the resumed stream repeats events")
+
 // streamBufferBytes is the buffer size for reading a stream.
 const streamBufferBytes = 8 << 10
 
 // copyStream sends a target's stream to the client event by event, as complete events
 // arrive.
 func (g *Gateway) copyStream(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
-	q.splitter.DiscardPartial()
-	q.status = resp.Status
-	if !out.begun() {
+	q.splitter.Resume()
+	if out.begun() {
+		logger.StreamResumed.Log(g.Log, "request", q.ID, "target", target.ID, "after", q.splitter.LastID, "events", q.deliveredEvents, "sends", q.attempts)
+	} else {
 		out.begin(g.HeaderCodec.ResponseHeaders(resp.Header), resp.Status, unknownLength)
 	}
 	if err := out.flush(); err != nil {
@@ -34,14 +41,16 @@
 			}
 		}
 		switch {
+		case q.splitter.Repeats():
+			return g.recordFailedAttempt(ctx, q, target, errRepeats, resultFailed)
 		case err == io.EOF && !q.splitter.Pending():
 			g.metrics.attempts.WithLabelValues("ok").Inc()
-			g.tracker.recordSuccess(target.ID)
+			g.tracker.recordSuccess(target.ID, q.inFlight.startedAt)
 			q.outcome = outcomeAnswered
 			out.finish()
 			return resultAnswered
 		case err != nil || q.splitter.TooLong():
-			return g.recordFailedAttempt(ctx, q, target, errOr(err, io.ErrUnexpectedEOF), resultBroken)
+			return g.recordFailedAttempt(ctx, q, target, errOr(err, io.ErrUnexpectedEOF), resultFailed)
 		}
 	}
 }
