Router: new requests are served until the load balancer has noticed a shutdown

The router closed its listener at once, so requests that were in the accept queue or that it had not read yet were lost, and no load balancer could have heard from its health check in time.

For leaveTime (the gateway's setting, 2.5 s by default) the health check is 503 and requests are still served; then the listener closes as before. The whole stop stays within shutdownLimit.

--- a/cmd/egretroute/router.go
+++ b/cmd/egretroute/router.go
@@ -62,7 +62,7 @@
 	r := &router.Router{
 		Name: s.Name, Domain: s.Domain, FleetAddress: s.FleetAddress, Secret: []byte(s.Secret), Table: table,
 		Policy: spender.NewProportional(s.KeptAtPlatform, spender.DefaultTrendFactor), FlushInterval: s.FlushInterval,
-		ShutdownLimit: s.ShutdownLimit, Log: log, Registry: registry,
+		LeaveTime: s.LeaveTime, ShutdownLimit: s.ShutdownLimit, Log: log, Registry: registry,
 		Peers: make(map[string]string),
 	}
 	for _, p := range s.Peers {
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -52,6 +52,7 @@
 	Platform        string
 	Secret          string
 	FlushInterval   time.Duration
+	LeaveTime       time.Duration
 	ShutdownLimit   time.Duration
 	PlatformTimeout time.Duration
 	KeptAtPlatform  float64
@@ -123,6 +124,7 @@
 		Platform        string         `toml:"platform"`
 		Secret          string         `toml:"secret"`
 		FlushInterval   string         `toml:"flushInterval"`
+		LeaveTime       string         `toml:"leaveTime"`
 		ShutdownLimit   string         `toml:"shutdownLimit"`
 		PlatformTimeout string         `toml:"platformTimeout"`
 		KeptAtPlatform  *float64       `toml:"keptAtPlatform"`
@@ -169,6 +171,7 @@
 		FleetAddress:    c.address("fleetAddress", f.FleetAddress),
 		Platform:        c.url("platform", f.Platform), Secret: c.secret("secret", f.Secret),
 		FlushInterval:   c.duration("flushInterval", f.FlushInterval, time.Second, 100*time.Millisecond, time.Minute),
+		LeaveTime:       c.duration("leaveTime", f.LeaveTime, defaultLeaveTime, 0, time.Minute),
 		ShutdownLimit:   c.duration("shutdownLimit", f.ShutdownLimit, time.Minute, time.Second, time.Hour),
 		PlatformTimeout: c.duration("platformTimeout", f.PlatformTimeout, 2*time.Second, 10*time.Millisecond, time.Minute),
 		KeptAtPlatform:  c.fraction("keptAtPlatform", f.KeptAtPlatform, 0),
--- a/internal/process/router/client_api.go
+++ b/internal/process/router/client_api.go
@@ -119,7 +119,7 @@
 }
 
 func (r *Router) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if r.follower.Fleet() == nil || r.draining.Load() {
+	if r.follower.Fleet() == nil || r.leaving.Load() {
 		writeError(w, http.StatusServiceUnavailable, "not-ready", "the router does not serve callers")
 		return
 	}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -72,6 +72,10 @@
 	Table         storer.Table
 	Policy        spender.Policy
 	FlushInterval time.Duration
+	// LeaveTime is how long the router serves new requests after a shutdown has begun,
+	// while its health check tells load balancers to send it no more.
+	LeaveTime time.Duration
+	// ShutdownLimit bounds the whole shutdown, LeaveTime included.
 	ShutdownLimit time.Duration
 	Operators     []Operator
 	Log           *slog.Logger
@@ -101,6 +105,9 @@
 	burnTracker  *reporter.BurnTracker
 	attempts     atomic.Uint64
 	built        atomic.Bool // the components above have been created
+	// leaving is set from the beginning of a shutdown, draining once no more requests
+	// are served.
+	leaving      atomic.Bool
 	draining     atomic.Bool
 	stuckHolders atomic.Pointer[[]recoverer.StuckHolder]
 }
@@ -225,13 +232,15 @@
 	r.treasury.OpenAccounts(names)
 }
 
-// shutdown drains the router: it waits for the requests in flight, up to
-// ShutdownLimit, settles and returns the tokens.
+// shutdown drains the router: it serves new requests for LeaveTime, waits for the
+// requests in flight, up to ShutdownLimit, settles and returns the tokens.
 func (r *Router) shutdown(clientServer *http.Server) error {
 	logger.RouterDraining.Log(r.Log, "router", r.Name)
-	r.draining.Store(true)
+	r.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), r.ShutdownLimit)
 	defer cancel()
+	sleep(ctx, r.LeaveTime)
+	r.draining.Store(true)
 	if err := clientServer.Shutdown(ctx); err != nil {
 		logger.RouterStopIncomplete.Log(r.Log, "router", r.Name, "error", err)
 	}
--- a/internal/trial/demonstrator/demonstrator.go
+++ b/internal/trial/demonstrator/demonstrator.go
@@ -53,8 +53,10 @@
 	readyPollInterval = 20 * time.Millisecond
 	platformTimeout   = 500 * time.Millisecond
 	shutdownLimit     = 20 * time.Second
-	writesPerSecond   = 400
-	readsPerSecond    = 2000
+	// leaveTime is shorter than a load balancer needs, as clients here use one router.
+	leaveTime       = time.Second
+	writesPerSecond = 400
+	readsPerSecond  = 2000
 )
 
 // Demonstrator runs a fleet in one process.
@@ -230,7 +232,7 @@
 	r := &router.Router{
 		Name: routerName(i), Domain: fmt.Sprintf("domain-%d", i+1), FleetAddress: ln.Addr().String(), Peers: peers,
 		Secret: []byte(secret), Table: d.table(), Policy: spender.NewProportional(0.05, spender.DefaultTrendFactor),
-		FlushInterval: d.FlushInterval, ShutdownLimit: shutdownLimit,
+		FlushInterval: d.FlushInterval, LeaveTime: leaveTime, ShutdownLimit: shutdownLimit,
 		Operators: []router.Operator{{Name: "demo", KeyHash: declarer.HashKey(OperatorKey)}},
 		Log:       d.log, Registry: prometheus.NewRegistry(),
 		ClientListener: clientListener, OperatorListener: operatorListener, FleetListener: ln,
