Suspecter: an expired suspicion does not count as a first crash

A request that crashed its target once in an hour could be refused everywhere as poison: finish and Merge took expired entries for known ones, since only look-ups dropped them. By the same cause a suspicion was not renewed once it had expired and nobody had looked it up. All three now go through one function that drops what has expired.

--- a/internal/request/suspecter/suspecter.go
+++ b/internal/request/suspecter/suspecter.go
@@ -107,7 +107,7 @@
 	if !crashed {
 		return
 	}
-	previous, known := s.classifications[digest]
+	previous, known := s.current(digest)
 	s.set(digest, classification{poison: previous.poison || (known && finished.alone), updatedAt: s.now()})
 }
 
@@ -127,7 +127,7 @@
 	defer s.mu.Unlock()
 	for _, entry := range recent {
 		prefix, digest := entry[:min(len(entry), len(suspectPrefix))], strings.TrimPrefix(strings.TrimPrefix(entry, suspectPrefix), poisonPrefix)
-		previous, known := s.classifications[digest]
+		previous, known := s.current(digest)
 		poison := prefix == poisonPrefix
 		if !known || (poison && !previous.poison) {
 			s.set(digest, classification{poison: poison, updatedAt: s.now()})
@@ -159,6 +159,12 @@
 func (s *Suspecter) lookup(digest string) (classification, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.current(digest)
+}
+
+// current returns the classification of a digest unless it has expired; s.mu must be
+// held.
+func (s *Suspecter) current(digest string) (classification, bool) {
 	v, ok := s.classifications[digest]
 	if ok && s.now().Sub(v.updatedAt) > lifetime {
 		delete(s.classifications, digest)
