Recoverer: an unreadable row does not end the scan

One holder row that a router could not decode kept the tokens of all dead holders after it, and the slots of dead owners, held for good, without a line: Scan returned at the first such row, and Run drops its error. The row is now logged once for each version (event 223) and passed over; nothing is decided about its holder. A release of slots still stops at such a row, since its router can't be asked.

--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -38,6 +38,7 @@
 	HolderSuspected       = Event{220, slog.LevelWarn, "holder suspected of being dead", "none; its router may still clear the suspicion"}
 	HolderRecovered       = Event{221, slog.LevelInfo, "tokens of a dead holder released", "none"}
 	HolderStuck           = Event{222, slog.LevelWarn, "tokens of a dead holder can't be released yet", "restore the named agents, or see the page on holders"}
+	HolderUnreadable      = Event{223, slog.LevelError, "holder row is unreadable and its tokens can't be released", "check that all routers run the same release"}
 	AnswerBroken          = Event{230, slog.LevelWarn, "response was incomplete or did not match its checksum", "check the target and the link"}
 	RequestOutcomeUnknown = Event{231, slog.LevelWarn, "contact lost with a request that may have run", "none"}
 	OperatorRefused       = Event{240, slog.LevelWarn, "operator key refused", "check the key"}
@@ -93,7 +94,7 @@
 	AgentStarted, AgentDraining, AgentDrained, AgentStopIncomplete, TargetCrashed, HolderFenced, PeerRefused, ClaimUncommitted,
 	VersionApplied, VersionUnreadable,
 	RouterStarted, RouterReady, RouterDraining, RouterStopped, RouterStopIncomplete, FlushFailed, FlushRecovered,
-	IncarnationFenced, AgentLinked, AgentLost, PeerLinked, PeerLost, HolderSuspected, HolderRecovered, HolderStuck,
+	IncarnationFenced, AgentLinked, AgentLost, PeerLinked, PeerLost, HolderSuspected, HolderRecovered, HolderStuck, HolderUnreadable,
 	AnswerBroken, RequestOutcomeUnknown, OperatorRefused, PatchApplied, SlotReleased, SlotStuck,
 	GatewayStarted, GatewayDraining, GatewayStopped, MetricsServerFailed, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedRecovered, FeedReset,
 	ConfigurationApplied, ConfigurationUnreadable, TargetsListed, TargetUpdated, TargetRemoved, TargetUnreadable, StoreDirectPathLost, StoreDirectPathRestored, MemberUnreadable,
--- a/internal/process/recoverer/recoverer.go
+++ b/internal/process/recoverer/recoverer.go
@@ -81,6 +81,8 @@
 
 	observedRows map[string]rowObservation // by holder incarnation
 	loggedStuck  map[string]bool           // by incarnation of a holder or slot owner
+	// loggedUnreadable holds the version of each unreadable row that was logged, by key.
+	loggedUnreadable map[string]uint64
 }
 
 // rowObservation is a version of a row and the time at which it was first seen.
@@ -115,6 +117,7 @@
 	if r.observedRows == nil {
 		r.observedRows = make(map[string]rowObservation)
 		r.loggedStuck = make(map[string]bool)
+		r.loggedUnreadable = make(map[string]uint64)
 	}
 	rows, err := storer.ScanAll(ctx, r.Table, bookkeeper.HolderPrefix)
 	if err != nil {
@@ -124,7 +127,8 @@
 	for _, row := range rows {
 		h, err := bookkeeper.DecodeHolder(row.Value)
 		if err != nil {
-			return err
+			r.logUnreadable(row, err)
+			continue
 		}
 		holder, err := r.advance(ctx, h, row.Version, now)
 		if err != nil && !errors.Is(err, storer.ErrConflict) {
@@ -141,6 +145,15 @@
 	return r.scanSlots(ctx)
 }
 
+// logUnreadable logs a row that can't be decoded, once for each version.
+func (r *Recoverer) logUnreadable(row storer.Row, err error) {
+	if r.loggedUnreadable[row.Key] == row.Version {
+		return
+	}
+	r.loggedUnreadable[row.Key] = row.Version
+	logger.HolderUnreadable.Log(r.Log, "row", row.Key, "version", row.Version, "error", err)
+}
+
 // advance moves one holder to the next state of its recovery: suspected, fenced,
 // released. It returns the holder if it is stuck.
 func (r *Recoverer) advance(ctx context.Context, h *bookkeeper.Holder, version uint64, now time.Time) (*StuckHolder, error) {
