Test: a refused relayed call does not make an unanswered direct call refused

TestUncertaintyOutlivesARefusal had no refusal: its companion was cut off too, so it passed without the code that it is about. The companion refuses now, and the case of before stays beside it. The test fails without the conversion to unavailable, and passes on the code as it is.

--- a/internal/connection/relayer/relayer_test.go
+++ b/internal/connection/relayer/relayer_test.go
@@ -136,12 +136,15 @@
 func TestUncertaintyOutlivesARefusal(t *testing.T) {
 	direct := newBackend(storer.NewMemory())
 	direct.partitioned.Store(true)
-	companionBackend := newBackend(storer.NewMemory())
-	companionBackend.partitioned.Store(true)
-	link := startCompanion(t, companionBackend)
-	s := &relayer.Store{Direct: direct, Links: func() []*linker.Link { return []*linker.Link{link} }}
-	_, err := s.CommitWithReceipt(context.Background(), storer.Commit{})
-	assert.ErrorIs(t, err, storer.ErrUnavailable)
+	for name, companion := range map[string]relayer.Backend{
+		"refused": refusingBackend{newBackend(storer.NewMemory())}, "unavailable": direct,
+	} {
+		link := startCompanion(t, companion)
+		s := &relayer.Store{Direct: direct, Links: func() []*linker.Link { return []*linker.Link{link} }}
+		_, err := s.CommitWithReceipt(context.Background(), storer.Commit{})
+		assert.ErrorIs(t, err, storer.ErrUnavailable, name)
+		assert.Assert(t, !errors.Is(err, storer.ErrRefused), name)
+	}
 }
 
 // refusingBackend refuses every commit.
