--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -73,7 +73,7 @@
 			continue
 		case resultNotRun:
 		case resultFailed:
-			if again := q.route.Repeatable() && q.splitter.Resumable(); !again && ctx.Err() == nil {
+			if !q.mayRunAgain() && ctx.Err() == nil {
 				return failedRefusal()
 			}
 		}
@@ -87,6 +87,12 @@
 	return noTargetLeft(q, busyRetryAfter)
 }
 
+// mayRunAgain reports whether the request may be sent to another target after one may have
+// run it: a begun stream needs a position from which to go on.
+func (q *request) mayRunAgain() bool {
+	return q.route.Repeatable() && q.splitter.Resumable()
+}
+
 // refuseIfTooLate refuses a request that can't have run yet if its first token is
 // predicted to come too late for its deadline.
 func (g *Gateway) refuseIfTooLate(q *request, out *clientResponse, shape placer.Request, target registrar.Entry, now time.Time) *refusal {
