Router: a backup that was not kept is not confirmed

A router that has revoked an agent keeps no copy of a dispatch to it, but confirmed it all the same, so the dispatching router counted the order as kept by two routers. If that router died before it was asked, a release of the agent's slots could miss the order, which may then run twice: a release bears one dead router on the ground that two keep each record.

Such a request now gets no reply, so that the next router is asked, or the claim has to be committed before the run. TestRefusedBackupIsNotConfirmed did not build before, as the function had no result and its caller replied in any case.

--- a/internal/process/router/dispatches.go
+++ b/internal/process/router/dispatches.go
@@ -146,11 +146,11 @@
 	}
 }
 
-// serveBackup stores or drops another router's dispatch record.
-func (ds *dispatches) serveBackup(m *framer.BackUpDispatch) {
+// serveBackup stores or drops another router's dispatch record. It returns false if it
+// stores nothing, since the agent has been revoked.
+func (ds *dispatches) serveBackup(m *framer.BackUpDispatch) bool {
 	if !m.Drop {
-		ds.add(m.Agent, m.Dispatch)
-		return
+		return ds.add(m.Agent, m.Dispatch)
 	}
 	ds.mu.Lock()
 	defer ds.mu.Unlock()
@@ -158,6 +158,7 @@
 	if d, ok := ds.byAgent[m.Agent][key]; ok && d.record.RequestID == m.Dispatch.RequestID {
 		delete(ds.byAgent[m.Agent], key)
 	}
+	return true
 }
 
 // revoke guarantees that nothing more is dispatched to an agent's incarnation until
--- a/internal/process/router/dispatches_test.go
+++ b/internal/process/router/dispatches_test.go
@@ -51,6 +51,19 @@
 	}
 }
 
+// TestRefusedBackupIsNotConfirmed asks a router that has revoked an agent to keep a copy of
+// a dispatch to it. It keeps none, and its caller must not believe that it does.
+func TestRefusedBackupIsNotConfirmed(t *testing.T) {
+	var ds dispatches
+	record := &framer.BackUpDispatch{Agent: agentName, Dispatch: framer.Dispatch{Key: "k"}}
+	assert.Assert(t, ds.serveBackup(record))
+	assert.Equal(t, len(ds.revoke(agentName).Dispatches), 1)
+	assert.Assert(t, !ds.serveBackup(&framer.BackUpDispatch{Agent: agentName, Dispatch: framer.Dispatch{Key: "l"}}))
+	assert.Equal(t, len(ds.revoke(agentName).Dispatches), 1)
+	record.Drop = true
+	assert.Assert(t, ds.serveBackup(record))
+}
+
 // TestReleasedSlotsHaveNoUnlistedDispatch lets a recoverer read slots, ask a router for a
 // revocation and release the slots, while the agent writes them and the router reads
 // them and dispatches. A release must know of all dispatches.
--- a/internal/process/router/links.go
+++ b/internal/process/router/links.go
@@ -293,8 +293,9 @@
 	case *framer.Settle:
 		_ = s.Write(&framer.Settled{DurableSequences: r.settleOwn(m.Bills)})
 	case *framer.BackUpDispatch:
-		r.dispatches.serveBackup(m)
-		_ = s.Write(&framer.Done{})
+		if r.dispatches.serveBackup(m) {
+			_ = s.Write(&framer.Done{})
+		} // otherwise the peer sees the stream end, and asks another router
 	case *framer.RevokeAgent:
 		_ = s.Write(r.revokeAgent(m))
 	case *framer.FetchFleet:
