Gateway: lines 330, 340 and 341 carry the request's digest, 330 what ran beside it

The ID of a request is new with each arrival, so the logs could not show whether targets that end one after the other ran the same request. The digest (organisation, method, host, path, body) is the one that the product's own routers use. beside is the number of this router's other requests at the target.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -200,8 +200,8 @@
 	}
 	ejection := g.tracker.recordLoss(target.ID, time.Now())
 	g.pool.CloseIdle(target.Address)
-	logger.AttemptFailed.Log(g.Log, "request", q.ID, "target", target.ID, "revision", target.Revision, "sent", result != resultUnsent,
-		"aside", ejection, "error", err)
+	logger.AttemptFailed.Log(g.Log, "request", q.ID, "digest", q.digest, "target", target.ID, "revision", target.Revision,
+		"sent", result != resultUnsent, "beside", g.tracker.runningAt(target.ID)-1, "aside", ejection, "error", err)
 	return result
 }
 
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/request/placer"
 	"github.com/egretroute/egretroute/internal/request/splitter"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -44,8 +45,10 @@
 // request is a client's request with the state of its processing.
 type request struct {
 	RequestMetadata
-	http         *http.Request
-	body         []byte
+	http *http.Request
+	body []byte
+	// digest is the same for all requests with the same contents; see suspecter.
+	digest       string
 	startedAt    time.Time
 	deadline     time.Time
 	matcher      *matcher.Matcher
@@ -172,6 +175,7 @@
 	if ref := q.readBody(w); ref != nil {
 		return ref
 	}
+	q.digest = suspecter.Digest(q.organisationName(), []byte(q.http.Method), []byte(q.http.Host), []byte(uri), q.body)
 	name := route.Pick(xxhash.Sum64String(q.ID))
 	if q.service, ok = m.Service(name); !ok {
 		q.service = &matcher.Service{Name: name}
@@ -358,7 +362,7 @@
 		event = logger.RequestNotAnswered
 	}
 	event.Log(g.Log, append([]any{
-		"request", q.ID, "kind", kind, "outcome", q.outcome, "status", q.status, "sentStatus", out.status, "complete", out.complete, "target", q.targetID, "sends", q.attempts,
+		"request", q.ID, "digest", q.digest, "kind", kind, "outcome", q.outcome, "status", q.status, "sentStatus", out.status, "complete", out.complete, "target", q.targetID, "sends", q.attempts,
 		"ms", time.Since(q.startedAt).Milliseconds(), "firstMs", q.firstByteAfter.Milliseconds(), "sentMs", q.lastAttemptAfter.Milliseconds(),
 		"prompt", q.PromptTokens, "wait", int64(q.choice.Wait), "home", q.choice.Preferred, "events", q.deliveredEvents, "version", version,
 		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost, "lender", q.lender,
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -342,6 +342,14 @@
 	return t.running
 }
 
+// runningAt returns the number of this router's requests in flight at a target.
+func (t *targetTracker) runningAt(target string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.target(target)
+	return s.short + s.long
+}
+
 func (t *targetTracker) target(id string) *targetState {
 	s, ok := t.targets[id]
 	if !ok {
--- a/internal/process/router/request.go
+++ b/internal/process/router/request.go
@@ -233,7 +233,7 @@
 	if slices.Contains(s.NonIdempotent, creq.method) {
 		creq.nonIdempotent = true
 	}
-	creq.digest = suspecter.Digest(creq.organisation.Name, append([]byte(creq.method+" "+creq.path+"\x00"+creq.key+"\x00"), creq.body...))
+	creq.digest = suspecter.Digest(creq.organisation.Name, []byte(creq.method+" "+creq.path), []byte(creq.key), creq.body)
 	creq.affinity = chooser.AffinityKey([]byte(creq.organisation.Name + "\x00" + creq.key))
 	return nil
 }
--- a/internal/request/suspecter/suspecter.go
+++ b/internal/request/suspecter/suspecter.go
@@ -66,12 +66,15 @@
 	return &Suspecter{now: now, classifications: make(map[string]classification), running: make(map[*activeRun]struct{})}
 }
 
-// Digest returns the digest of an organisation's request.
-func Digest(organisation string, body []byte) string {
+// Digest returns the digest of an organisation's request with the given contents, such as
+// its method, path and body.
+func Digest(organisation string, contents ...[]byte) string {
 	h := xxhash.New()
 	_, _ = h.WriteString(organisation) // never fails
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(body)
+	for _, c := range contents {
+		_, _ = h.Write([]byte{0})
+		_, _ = h.Write(c)
+	}
 	return hex.EncodeToString(h.Sum(nil))
 }
 
