--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -147,7 +147,7 @@
 	}
 	addresses := make([]string, s.Gateways)
 	for i := range addresses {
-		addresses[i] = newAddress()
+		addresses[i] = platformtest.NewAddress()
 	}
 	for i := range s.Gateways {
 		if err := s.addProgram(fmt.Sprintf("gateway-%d", i), "gateway", addresses[i], addresses); err != nil {
@@ -155,7 +155,7 @@
 		}
 	}
 	for i := range s.Companions {
-		if err := s.addProgram(fmt.Sprintf("companion-%d", i), "companion", newAddress(), nil); err != nil {
+		if err := s.addProgram(fmt.Sprintf("companion-%d", i), "companion", platformtest.NewAddress(), nil); err != nil {
 			return err
 		}
 	}
@@ -175,7 +175,7 @@
 	}
 	p := &program{
 		name: name, kind: kind, binary: s.Binary, dir: s.Dir, fleetAddress: fleetAddress, seeds: seeds, storeProxy: storeProxy,
-		callerAddress: newAddress(), readyAddress: newAddress(), retrySlack: 50,
+		callerAddress: platformtest.NewAddress(), readyAddress: platformtest.NewAddress(), retrySlack: 50,
 	}
 	s.programs = append(s.programs, p)
 	return p.start()
