Suspecter: one rule over the crashes that all processes have seen

Until now each process kept a mark for a digest, suspect or poison, made by whoever saw the crash; only the agent beside the target could tell a second crash alone from one in a batch, marks older than two minutes reached no process that started later, of more than 32 a heartbeat carried 32 at random, and a mark stayed for an hour though the request had been answered since. The gateways of the users' platform, where nobody sits beside a plain service, could not use that.

Now a crash is an observation (digest, run of the target, time, whether it was a suspect when sent), every process merges the observations of all, in any order, and Judge is a pure function of them: one crash makes a suspect; a second one that hit a suspect with nothing beside it, or a third one in any case, makes poison; an answer clears. An Exchange sends each observation once over each link, 16 at a time, and everything over a new link. Memory: 4,096 observations, poison kept longest.

The product's agents and routers use it (the messages' old fields are reserved); the router also asks before each attempt of a request, not only before the first.

--- a/internal/connection/framer/codec.go
+++ b/internal/connection/framer/codec.go
@@ -1,9 +1,12 @@
 package framer
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/egretroute/egretroute/internal/connection/framer/wire"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 // ErrUnknownMessage is returned for a message type or a frame that has no codec.
@@ -43,12 +46,12 @@
 	switch m := m.(type) {
 	case *Ping:
 		return &wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{
-			Incarnation: m.Incarnation, Version: m.Version, Poison: m.Poison, Named: m.Listed,
+			Incarnation: m.Incarnation, Version: m.Version, Crashes: encodeCrashes(m.Crashes), Named: m.Listed,
 		}}}, nil
 	case *Pong:
 		return &wire.Frame{Body: &wire.Frame_Pong{Pong: &wire.Pong{
 			Incarnation: m.Incarnation, Version: m.Version, Load: encodeLoad(m.Load),
-			Bills: mapAll(m.Bills, encodeBill), Poison: m.Poison, Loose: int32(m.UncommittedClaims),
+			Bills: mapAll(m.Bills, encodeBill), Crashes: encodeCrashes(m.Crashes), Loose: int32(m.UncommittedClaims),
 		}}}, nil
 	case *Fence:
 		return &wire.Frame{Body: &wire.Frame_Fence{Fence: &wire.Fence{
@@ -137,13 +140,13 @@
 	case *wire.Frame_Ping:
 		m := b.Ping
 		return &Ping{
-			Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Poison: m.GetPoison(), Listed: m.GetNamed(),
+			Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Crashes: decodeCrashes(m.GetCrashes()), Listed: m.GetNamed(),
 		}, nil
 	case *wire.Frame_Pong:
 		m := b.Pong
 		return &Pong{
 			Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Load: decodeLoad(m.GetLoad()),
-			Bills: mapAll(m.GetBills(), decodeBill), Poison: m.GetPoison(), UncommittedClaims: int(m.GetLoose()),
+			Bills: mapAll(m.GetBills(), decodeBill), Crashes: decodeCrashes(m.GetCrashes()), UncommittedClaims: int(m.GetLoose()),
 		}, nil
 	case *wire.Frame_Fence:
 		return &Fence{Incarnation: b.Fence.GetIncarnation(), Release: b.Fence.GetRelease()}, nil
@@ -218,6 +221,7 @@
 		Attempt: m.Attempt, Outcome: int32(m.Outcome), Reason: m.Reason, PromptTokens: m.PromptTokens,
 		OutputTokens: m.OutputTokens, Bytes: m.Bytes, Checksum: m.Checksum,
 		RetryAfterMillis: m.RetryAfterMillis, Load: encodeLoad(m.Load), Loose: m.Uncommitted, Unsettled: m.Unsettled,
+		Crashes: mapAll(m.Crashes, encodeCrash),
 	}
 }
 
@@ -226,6 +230,7 @@
 		Attempt: m.GetAttempt(), Outcome: Outcome(m.GetOutcome()), Reason: m.GetReason(), PromptTokens: m.GetPromptTokens(),
 		OutputTokens: m.GetOutputTokens(), Bytes: m.GetBytes(), Checksum: m.GetChecksum(),
 		RetryAfterMillis: m.GetRetryAfterMillis(), Load: decodeLoad(m.GetLoad()), Uncommitted: m.GetLoose(), Unsettled: m.GetUnsettled(),
+		Crashes: mapAll(m.GetCrashes(), decodeCrash),
 	}
 }
 
@@ -285,3 +290,19 @@
 	}
 	return out
 }
+
+func encodeCrashes(m suspecter.Message) *wire.Crashes {
+	return &wire.Crashes{Crashes: mapAll(m.Observations, encodeCrash), Cursor: m.Cursor, Confirmed: m.Confirmed}
+}
+
+func decodeCrashes(m *wire.Crashes) suspecter.Message {
+	return suspecter.Message{Observations: mapAll(m.GetCrashes(), decodeCrash), Cursor: m.GetCursor(), Confirmed: m.GetConfirmed()}
+}
+
+func encodeCrash(o suspecter.Observation) *wire.Crash {
+	return &wire.Crash{Digest: o.Digest, Run: o.Run, AtMillis: o.At.UnixMilli(), Repeat: o.Repeat}
+}
+
+func decodeCrash(c *wire.Crash) suspecter.Observation {
+	return suspecter.Observation{Digest: c.GetDigest(), Run: c.GetRun(), At: time.UnixMilli(c.GetAtMillis()), Repeat: c.GetRepeat()}
+}
--- a/internal/connection/framer/fuzz_test.go
+++ b/internal/connection/framer/fuzz_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 // allMessages returns one message of each type with all fields set, except RelayWatch.List.
@@ -16,6 +17,9 @@
 	part := framer.Part{Payer: "p", Sequence: 1, Amount: 2}
 	load := framer.Load{Running: 1, Queued: 2, Capacity: 3, Draining: true}
 	dispatch := framer.Dispatch{Service: "s", Organisation: "o", Key: "k", RequestID: "r"}
+	crashes := suspecter.Message{
+		Observations: []suspecter.Observation{{Digest: "d", Run: "t@1", At: time.UnixMilli(5), Repeat: true}}, Cursor: 6, Confirmed: 7,
+	}
 	return []any{
 		&framer.Hello{Nonce: []byte{1}, Name: "n", Incarnation: "i", MAC: []byte{2}},
 		&framer.Proof{MAC: []byte{1}},
@@ -28,11 +32,11 @@
 		&framer.Chunk{Attempt: 1, Data: []byte("x")},
 		&framer.End{
 			Attempt: 1, Outcome: framer.OutcomeAnswered, Reason: "r", PromptTokens: 1, OutputTokens: 2, Bytes: 3,
-			Checksum: 4, RetryAfterMillis: 5, Load: load, Uncommitted: true, Unsettled: true,
+			Checksum: 4, RetryAfterMillis: 5, Load: load, Uncommitted: true, Unsettled: true, Crashes: crashes.Observations,
 		},
 		&framer.Cancel{Attempt: 1},
-		&framer.Ping{Incarnation: "i", Version: 1, Poison: []string{"s:1"}, Listed: true},
-		&framer.Pong{Incarnation: "i", Version: 1, Load: load, Bills: []framer.Bill{bill}, Poison: []string{"c:1"}, UncommittedClaims: 2},
+		&framer.Ping{Incarnation: "i", Version: 1, Crashes: crashes, Listed: true},
+		&framer.Pong{Incarnation: "i", Version: 1, Load: load, Bills: []framer.Bill{bill}, Crashes: crashes, UncommittedClaims: 2},
 		&framer.Fence{Incarnation: "i", Release: true},
 		&framer.Fenced{Agent: "a", Bills: []framer.Bill{bill}, Running: []framer.Part{part}},
 		&framer.BillsDurable{Payer: "p", Sequences: []uint64{1, 2}},
@@ -52,12 +56,13 @@
 			Rows: []framer.RowValue{{Key: "a//b", Version: 3, Value: []byte("v")}, {Key: "a//c", Version: 4, Deleted: true}},
 		},
 		&framer.PeerReport{
-			Incarnation: "r@1", Loads: []framer.TargetLoad{{Target: "t", PendingTokens: 7, ShortRequests: 1, LongRequests: 2}},
+			Incarnation: "r@1", Loads: []framer.TargetLoad{{Target: "t", PendingTokens: 7, ShortRequests: 1, LongRequests: 2}}, Crashes: crashes,
 		},
 		&framer.FetchRowCache{},
 		&framer.RowCache{
 			Configuration: []byte("{}"), Targets: []framer.RowValue{{Key: "servers//i", Version: 1, Value: []byte("x")}},
 			Members: []framer.RowValue{{Key: "processes//r", Version: 2, Value: []byte("y")}},
+			Crashes: crashes.Observations,
 		},
 		&framer.FleetDocument{Version: 1, Document: []byte("d")},
 		&framer.Audit{RouterInstance: "r", Attempt: 1, RequestID: "q", Organisation: "o", Parts: []framer.Part{part}, Agent: "a"},
--- a/internal/connection/framer/message.go
+++ b/internal/connection/framer/message.go
@@ -1,5 +1,7 @@
 package framer
 
+import "github.com/egretroute/egretroute/internal/request/suspecter"
+
 // Part is one payer's share of the worst-case cost of a request, in tokens.
 //
 // Payer is the incarnation of the router whose tokens cover the part. Sequence
@@ -127,6 +129,9 @@
 	// Unsettled is set if the target has not reported the usage of the run yet; it can
 	// be queried later with an Audit.
 	Unsettled bool
+	// Crashes are those that the request is suspected of, if it crashed the target or was
+	// refused for them.
+	Crashes []suspecter.Observation
 }
 
 // Cancel asks an agent to stop an attempt.
@@ -141,7 +146,7 @@
 type Ping struct {
 	Incarnation string
 	Version     uint64
-	Poison      []string
+	Crashes     suspecter.Message
 	Listed      bool
 }
 
@@ -151,7 +156,7 @@
 	Version     uint64
 	Load        Load
 	Bills       []Bill
-	Poison      []string
+	Crashes     suspecter.Message
 	// UncommittedClaims counts the claims that are not durable yet.
 	UncommittedClaims int
 }
--- a/internal/connection/framer/store.go
+++ b/internal/connection/framer/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/egretroute/egretroute/internal/connection/framer/wire"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 // RowCondition requires a version of a row of the platform's store.
@@ -80,10 +81,12 @@
 	LongRequests  int
 }
 
-// PeerReport tells another router the load that this one has placed on targets.
+// PeerReport tells another router the load that this one has placed on targets, and the
+// crashes that it has seen.
 type PeerReport struct {
 	Incarnation string
 	Loads       []TargetLoad
+	Crashes     suspecter.Message
 }
 
 // FetchRowCache asks a router for its row cache. It is sent by a process that starts
@@ -97,6 +100,8 @@
 	Targets       []RowValue
 	// Members are the rows of the fleet's processes.
 	Members []RowValue
+	// Crashes are the newest ones that the router knows.
+	Crashes []suspecter.Observation
 }
 
 // encodeStore converts the messages of relayed store calls and between routers that
@@ -127,13 +132,14 @@
 			Loads: mapAll(m.Loads, func(l TargetLoad) *wire.TargetLoad {
 				return &wire.TargetLoad{Target: l.Target, Pending: l.PendingTokens, Short: int32(l.ShortRequests), Long: int32(l.LongRequests)}
 			}),
+			Crashes: encodeCrashes(m.Crashes),
 		}}}
 	case *FetchRowCache:
 		return &wire.Frame{Body: &wire.Frame_FetchKnown{FetchKnown: &wire.FetchKnown{}}}
 	case *RowCache:
 		return &wire.Frame{Body: &wire.Frame_Known{Known: &wire.Known{
 			Configuration: m.Configuration, Targets: mapAll(m.Targets, encodeRow),
-			Members: mapAll(m.Members, encodeRow),
+			Members: mapAll(m.Members, encodeRow), Crashes: mapAll(m.Crashes, encodeCrash),
 		}}}
 	default:
 		return nil
@@ -170,13 +176,14 @@
 			Loads: mapAll(r.GetLoads(), func(l *wire.TargetLoad) TargetLoad {
 				return TargetLoad{Target: l.GetTarget(), PendingTokens: l.GetPending(), ShortRequests: int(l.GetShort()), LongRequests: int(l.GetLong())}
 			}),
+			Crashes: decodeCrashes(r.GetCrashes()),
 		}
 	case *wire.Frame_FetchKnown:
 		return &FetchRowCache{}
 	case *wire.Frame_Known:
 		return &RowCache{
 			Configuration: b.Known.GetConfiguration(), Targets: mapAll(b.Known.GetTargets(), decodeRow),
-			Members: mapAll(b.Known.GetMembers(), decodeRow),
+			Members: mapAll(b.Known.GetMembers(), decodeRow), Crashes: mapAll(b.Known.GetCrashes(), decodeCrash),
 		}
 	default:
 		return nil
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -61,6 +61,9 @@
 	// unknown.
 	unknownSince sync.Map
 	targetDown   atomic.Bool // the target crashed during a run and has not responded to a probe since
+	// targetStarts counts the crashes of the target: requests that began between the same
+	// two crashes ran at the same start of it.
+	targetStarts atomic.Uint64
 }
 
 // Run serves routers until ctx ends and then drains: it refuses new requests, waits for
@@ -178,7 +181,7 @@
 }
 
 func (a *Agent) pong(m *framer.Ping) *framer.Pong {
-	a.Suspects.Merge(m.Poison)
+	crashes, _ := a.Suspects.Reply(m.Crashes, suspecter.All)
 	if m.Listed {
 		a.bills.allowPayer(m.Incarnation)
 	}
@@ -187,7 +190,7 @@
 		Version:           a.Follower.Version(),
 		Load:              a.load(),
 		Bills:             a.bills.overdue(time.Now().Add(-billOverdueAfter)),
-		Poison:            a.Suspects.Recent(),
+		Crashes:           crashes,
 		UncommittedClaims: a.Claims.UncommittedCount(),
 	}
 }
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,7 @@
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/request/claimer"
 	"github.com/egretroute/egretroute/internal/request/queuer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 // Reasons that an End gives if a request was not run or not answered normally.
@@ -67,8 +69,10 @@
 	switch {
 	case run.Target != a.Target:
 		return notRun(ReasonWrongTarget)
-	case a.Suspects.IsPoison(run.Digest):
-		return notRun(ReasonPoison)
+	case a.Suspects.Verdict(run.Digest) == suspecter.Poison:
+		end := notRun(ReasonPoison)
+		end.Crashes = a.Suspects.Crashes(run.Digest)
+		return end
 	case !a.bills.begin(run.Parts):
 		return notRun(ReasonFenced)
 	case !a.attempts.accept(run.RouterInstance, run.Attempt):
@@ -77,9 +81,6 @@
 		a.bills.abandon(run.Parts)
 		return notRun(ReasonDuplicate)
 	}
-	if run.Suspect {
-		a.Suspects.MarkSuspect(run.Digest)
-	}
 	release, err := a.Queue.Acquire(ctx, a.queueEntry(run))
 	if err != nil {
 		a.bills.abandon(run.Parts)
@@ -116,7 +117,7 @@
 func (a *Agent) queueEntry(run *framer.Run) *queuer.Entry {
 	entry := &queuer.Entry{
 		Organisation: run.Organisation, Priority: run.Priority, Weight: run.Weight, Cost: run.Cost,
-		Exclusive: run.Model && a.Suspects.IsSuspect(run.Digest),
+		Exclusive: run.Model && a.isSuspect(run),
 	}
 	if run.DeadlineMillis > 0 {
 		entry.Deadline = time.Now().Add(time.Duration(run.DeadlineMillis) * time.Millisecond)
@@ -124,6 +125,11 @@
 	return entry
 }
 
+// isSuspect reports whether the router or the agent suspects a request of a crash.
+func (a *Agent) isSuspect(run *framer.Run) bool {
+	return run.Suspect || a.Suspects.Verdict(run.Digest) != suspecter.Innocent
+}
+
 // endForQueueError converts an error of the queue to an End.
 func endForQueueError(err error) *framer.End {
 	var late *queuer.DeadlineError
@@ -180,11 +186,10 @@
 
 // execute runs the request at the target and records its bill.
 func (a *Agent) execute(ctx context.Context, w *responseWriter, run *framer.Run) *framer.End {
-	finish := a.Suspects.Begin(run.Digest)
+	suspect, start := a.isSuspect(run), a.targetStarts.Load()
 	usage, err := a.Backend.Execute(ctx, run, w)
 	unsettled := errors.Is(err, ErrUnsettled)
 	crashed := errors.Is(err, ErrCrashed) || (unsettled && ctx.Err() == nil)
-	finish(crashed)
 	end := &framer.End{
 		Outcome: framer.OutcomeAnswered, PromptTokens: usage.Prompt, OutputTokens: usage.Output + usage.Fixed,
 	}
@@ -194,13 +199,20 @@
 		return notRun(ReasonFailed)
 	case crashed:
 		a.targetDown.Store(true)
-		end.Outcome, end.Reason = framer.OutcomeFailedAfterStart, ReasonCrashed
-		if a.Suspects.IsPoison(run.Digest) {
+		// The next request runs at another start of the target.
+		a.targetStarts.CompareAndSwap(start, start+1)
+		verdict := a.Suspects.Observe(suspecter.Observation{
+			Digest: run.Digest, Run: fmt.Sprintf("%s/%d", a.Incarnation, start), At: time.Now(), Repeat: suspect,
+		})
+		end.Outcome, end.Reason, end.Crashes = framer.OutcomeFailedAfterStart, ReasonCrashed, a.Suspects.Crashes(run.Digest)
+		if verdict == suspecter.Poison {
 			end.Reason = ReasonPoison
 		}
-		logger.TargetCrashed.Log(a.Log, "target", a.Target, "request", run.RequestID)
+		logger.TargetCrashed.Log(a.Log, "target", a.Target, "request", run.RequestID, "digest", run.Digest, "crashes", len(end.Crashes), "verdict", verdict.String())
 	case err != nil:
 		end.Outcome, end.Reason = framer.OutcomeFailedAfterStart, ReasonFailed
+	case suspect:
+		a.Suspects.Answered(run.Digest)
 	}
 	if unsettled {
 		end.Unsettled = true
--- a/internal/process/router/attempt.go
+++ b/internal/process/router/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/egretroute/egretroute/internal/process/agent"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/request/chooser"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 // cancelGrace is how long an agent has to end a canceled attempt before its
@@ -87,7 +88,7 @@
 		Priority: int(creq.priority), Weight: creq.organisation.Weight,
 		DeadlineMillis: time.Until(creq.deadline).Milliseconds(),
 		NonIdempotent:  creq.nonIdempotent, Key: key, Parts: parts, Cost: creq.cost, Model: creq.model,
-		Digest: creq.digest, Suspect: r.suspects.IsSuspect(creq.digest),
+		Digest: creq.digest, Suspect: r.suspects.Verdict(creq.digest) == suspecter.Suspect,
 	}
 }
 
@@ -104,14 +105,13 @@
 // request from the attempt's End.
 func (r *Router) recordOutcome(c *chooser.Candidate, creq *clientRequest, end *framer.End) {
 	c.Report(end.Load.Running+end.Load.Queued, end.Load.Draining, time.Now())
+	r.suspects.Merge(end.Crashes)
 	switch end.Reason {
 	case agent.ReasonCrashed:
-		r.suspects.MarkSuspect(creq.digest)
 		c.RecordFailure(time.Now())
-		go r.broadcastSuspicions()
+		go r.broadcastCrashes()
 	case agent.ReasonPoison:
-		r.suspects.MarkPoison(creq.digest)
-		r.broadcastSuspicions()
+		r.broadcastCrashes()
 	case agent.ReasonFailed, agent.ReasonDown:
 		c.RecordFailure(time.Now())
 	default:
--- a/internal/process/router/execute.go
+++ b/internal/process/router/execute.go
@@ -11,6 +11,7 @@
 	"github.com/egretroute/egretroute/internal/process/agent"
 	"github.com/egretroute/egretroute/internal/process/treasurer"
 	"github.com/egretroute/egretroute/internal/request/chooser"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 const (
@@ -29,9 +30,6 @@
 func (r *Router) execute(ctx context.Context, creq *clientRequest, resp *clientResponse) *result {
 	ctx, cancel := context.WithDeadline(ctx, creq.deadline)
 	defer cancel()
-	if r.suspects.IsPoison(creq.digest) {
-		return &result{outcome: framer.OutcomeNotRun, reason: agent.ReasonPoison}
-	}
 	total := &result{outcome: framer.OutcomeNotRun, reason: reasonNoTarget, retryAfter: jitter(defaultRetryAfter)}
 	tried := make(map[string]bool)
 	var parts []framer.Part
@@ -40,6 +38,10 @@
 		limit = maxSlotOwnerAttempts
 	}
 	for n := range limit {
+		if r.suspects.Verdict(creq.digest) == suspecter.Poison {
+			total = mergeResults(total, &result{outcome: framer.OutcomeNotRun, reason: agent.ReasonPoison})
+			break
+		}
 		if parts == nil && creq.cost > 0 {
 			var err error
 			if parts, err = r.treasury.Reserve(ctx, creq.organisation.Name, creq.cost); err != nil {
--- a/internal/process/router/links.go
+++ b/internal/process/router/links.go
@@ -11,14 +11,15 @@
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/treasurer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 // listedPollInterval is how often heartbeatOnceListed checks whether the
 // holder's row lists a new agent.
 const listedPollInterval = 20 * time.Millisecond
 
-// suspicionTimeout bounds the broadcast of a suspicion.
-const suspicionTimeout = 250 * time.Millisecond
+// crashTimeout bounds the broadcast of a crash.
+const crashTimeout = 250 * time.Millisecond
 
 // errNoLink is returned for a call to a process that this router has no link to.
 var errNoLink = errors.New("no link to the process")
@@ -27,9 +28,10 @@
 func (r *Router) heartbeatAgent(ctx context.Context, target string, link *linker.Link) error {
 	listed := r.treasury.AgentListed(link.Peer.Incarnation)
 	sent := time.Now()
+	crashes := r.crashes.Request(link)
 	pong, err := linker.Call[*framer.Pong](ctx, link, &framer.Ping{
 		Incarnation: r.treasury.Incarnation(), Version: r.follower.Version(),
-		Poison: r.suspects.Recent(), Listed: listed,
+		Crashes: crashes, Listed: listed,
 	})
 	if err != nil {
 		r.directory.recordFailure(target)
@@ -47,7 +49,7 @@
 	if pong.UncommittedClaims == 0 {
 		r.dispatches.dropCommitted(r, link.Peer.Incarnation, sent)
 	}
-	r.suspects.Merge(pong.Poison)
+	r.crashes.Finish(link, crashes, pong.Crashes)
 	if pong.Load.Draining {
 		r.treasury.AgentDraining(link.Peer.Incarnation)
 	}
@@ -114,21 +116,23 @@
 	_ = r.heartbeatAgent(ctx, target, link)
 }
 
-func (r *Router) agentDown(target string, _ *linker.Link) {
+func (r *Router) agentDown(target string, link *linker.Link) {
+	r.crashes.Drop(link)
 	logger.AgentLost.Log(r.Log, "target", target)
 	r.directory.markUnlinked(target)
 }
 
 // heartbeatPeer sends a heartbeat to another router and applies the reply.
 func (r *Router) heartbeatPeer(ctx context.Context, name string, link *linker.Link) error {
+	crashes := r.crashes.Request(link)
 	pong, err := linker.Call[*framer.Pong](ctx, link, &framer.Ping{
-		Incarnation: r.treasury.Incarnation(), Version: r.follower.Version(), Poison: r.suspects.Recent(),
+		Incarnation: r.treasury.Incarnation(), Version: r.follower.Version(), Crashes: crashes,
 	})
 	if err != nil {
 		return err
 	}
 	r.directory.setPeerIncarnation(name, pong.Incarnation)
-	r.suspects.Merge(pong.Poison)
+	r.crashes.Finish(link, crashes, pong.Crashes)
 	if pong.Version > r.follower.Version() {
 		r.fetchFleet(ctx, link)
 	}
@@ -146,10 +150,10 @@
 	}
 }
 
-// broadcastSuspicions sends the suspicions to the other routers at once: a request
+// broadcastCrashes sends the crashes seen to the other routers at once: a request
 // that crashes targets is retried sooner than the next regular heartbeat.
-func (r *Router) broadcastSuspicions() {
-	ctx, cancel := context.WithTimeout(context.Background(), suspicionTimeout)
+func (r *Router) broadcastCrashes() {
+	ctx, cancel := context.WithTimeout(context.Background(), crashTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, name := range r.peers.Live() {
@@ -170,7 +174,8 @@
 	logger.PeerLinked.Log(r.Log, "router", name)
 }
 
-func (r *Router) peerDown(name string, _ *linker.Link) {
+func (r *Router) peerDown(name string, link *linker.Link) {
+	r.crashes.Drop(link)
 	logger.PeerLost.Log(r.Log, "router", name)
 	r.directory.setPeerIncarnation(name, "")
 }
@@ -284,9 +289,9 @@
 	r := h.router
 	switch m := first.(type) {
 	case *framer.Ping:
-		r.suspects.Merge(m.Poison)
+		crashes, _ := r.suspects.Reply(m.Crashes, suspecter.All)
 		_ = s.Write(&framer.Pong{
-			Incarnation: r.treasury.Incarnation(), Version: r.follower.Version(), Poison: r.suspects.Recent(),
+			Incarnation: r.treasury.Incarnation(), Version: r.follower.Version(), Crashes: crashes,
 		})
 	case *framer.Reserve:
 		_ = s.Write(&framer.Reserved{Part: r.treasury.Lend(m)})
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -86,12 +86,14 @@
 	OperatorListener net.Listener
 	FleetListener    net.Listener
 
-	instance     string // unique to this start of the process; attempt numbers are unique within it
-	follower     *follower.Follower
-	patcher      *patcher.Patcher
-	treasury     *treasurer.Treasurer
-	recovery     *recoverer.Recoverer
-	suspects     *suspecter.Suspecter
+	instance string // unique to this start of the process; attempt numbers are unique within it
+	follower *follower.Follower
+	patcher  *patcher.Patcher
+	treasury *treasurer.Treasurer
+	recovery *recoverer.Recoverer
+	suspects *suspecter.Suspecter
+	// crashes exchanges observations with agents and other routers.
+	crashes      suspecter.Exchange[*linker.Link]
 	agents       *connector.Connector
 	peers        *connector.Connector
 	chooser      chooser.Chooser
@@ -150,6 +152,7 @@
 	r.metrics = newMetrics(r.Registry)
 	r.chooser = chooser.NewPrefixAffinity()
 	r.suspects = suspecter.New(time.Now)
+	r.crashes.Suspecter = r.suspects
 	r.patcher = &patcher.Patcher{Table: r.Table}
 	r.follower = &follower.Follower{OnChange: r.applyFleet}
 	r.auditor = &auditor{router: r}
--- /dev/null
+++ b/internal/request/suspecter/codec.go
@@ -0,0 +1,39 @@
+package suspecter
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// wireObservation is an observation in a stored row.
+type wireObservation struct {
+	Digest   string `json:"digest"`
+	Run      string `json:"run,omitempty"`
+	AtMillis int64  `json:"atMillis"`
+	Repeat   bool   `json:"repeat,omitempty"`
+}
+
+// Encode returns the value of a row with observations.
+func Encode(observations []Observation) []byte {
+	list := make([]wireObservation, 0, len(observations))
+	for _, o := range observations {
+		list = append(list, wireObservation{Digest: o.Digest, Run: o.Run, AtMillis: o.At.UnixMilli(), Repeat: o.Repeat})
+	}
+	value, _ := json.Marshal(list) // structs of plain fields never fail
+	return value
+}
+
+// Decode is the reverse of Encode. Times have a resolution of a millisecond.
+func Decode(value []byte) ([]Observation, error) {
+	var list []wireObservation
+	if err := json.Unmarshal(value, &list); err != nil {
+		return nil, errors.Wrap(err, "decode observations")
+	}
+	observations := make([]Observation, 0, len(list))
+	for _, w := range list {
+		observations = append(observations, Observation{Digest: w.Digest, Run: w.Run, At: time.UnixMilli(w.AtMillis), Repeat: w.Repeat})
+	}
+	return observations, nil
+}
--- a/internal/request/suspecter/suspecter.go
+++ b/internal/request/suspecter/suspecter.go
@@ -1,25 +1,33 @@
 // Package suspecter identifies poison requests: requests that crash the targets
 // they run on.
 //
-// A crash makes every request of the batch a suspect. A suspect runs alone, so a
-// second crash identifies exactly the request that caused it, and a request known
-// as poison is refused everywhere. A poison request causes two crashes at most, and
-// no other request is ever refused.
+// Every process reports what it sees, and all processes judge the same observations by
+// the same rule (Judge). A crash makes every request that the target was running a suspect.
+// Suspects run apart from each other, so a second crash usually identifies the one that
+// caused it; a third one does in any case. A request that a target has answered is no
+// longer suspect.
 //
 // # Usage
 //
 //	s := suspecter.New(time.Now)
-//	finish := s.Begin(digest)
-//	finish(crashed)
-//	s.Merge(peer.Recent()) // entries are exchanged with heartbeats
+//	digest := suspecter.Digest(organisation, method, path, body)
+//	if s.Verdict(digest) == suspecter.Poison {
+//		// Refuse the request.
+//	}
+//	s.Observe(suspecter.Observation{Digest: digest, Run: "engine-1@17", At: time.Now()})
+//	s.Answered(digest) // after a complete response
+//
+//	batch, cursor := s.Since(cursor, suspecter.All) // send to a peer
+//	s.Merge(batch)                                  // at the peer
 //
 // A digest includes the organisation, so that no organisation can cause requests of
 // another to be refused.
 package suspecter
 
 import (
+	"cmp"
 	"encoding/hex"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,43 +35,49 @@
 )
 
 const (
-	// maxEntries bounds the number of stored entries; the oldest is evicted.
-	maxEntries = 4096
-	// lifetime is how long a request stays suspect or poison.
+	// maxRecords bounds the number of stored observations.
+	maxRecords = 4096
+	// lifetime is how long an observation counts.
 	lifetime = time.Hour
-	// gossipTime is how long an entry is sent with heartbeats.
-	gossipTime = 2 * time.Minute
-	// maxGossipEntries bounds the entries of one heartbeat.
-	maxGossipEntries = 32
-
-	// Prefixes of the digests that are exchanged with heartbeats.
-	suspectPrefix = "s:"
-	poisonPrefix  = "c:"
+	// maxBatch bounds the observations that are sent to a peer at once.
+	maxBatch = 16
+	// maxNameBytes bounds the length of a Digest and of a Run from a peer.
+	maxNameBytes = 256
+	// maxClockSkew bounds how far the clocks of two hosts may differ.
+	maxClockSkew = time.Minute
 )
 
-// classification says whether a digest is known as suspect or as poison.
-type classification struct {
-	poison    bool
-	updatedAt time.Time
-}
+// Scope selects observations to send.
+type Scope int
 
-// activeRun is a request in progress.
-type activeRun struct {
-	alone bool // no other request has run at the same time
+const (
+	// All selects all observations.
+	All Scope = iota
+	// Own selects those of this process, for peers that hear from the others directly.
+	Own
+)
+
+// record is an observation with the number of its arrival.
+type record struct {
+	Observation
+	sequence uint64
+	own      bool
 }
 
-// Suspecter stores suspect and poison requests by digest.
+// Suspecter stores the observations of a fleet by digest. It is safe for concurrent use.
 type Suspecter struct {
 	now func() time.Time
 
-	mu              sync.Mutex // guards all below
-	classifications map[string]classification
-	running         map[*activeRun]struct{}
+	mu       sync.Mutex // guards all below
+	records  map[string][]record
+	runs     map[string]int // the number of records of each Run
+	count    int
+	sequence uint64
 }
 
 // New returns an empty Suspecter with the clock now.
 func New(now func() time.Time) *Suspecter {
-	return &Suspecter{now: now, classifications: make(map[string]classification), running: make(map[*activeRun]struct{})}
+	return &Suspecter{now: now, records: make(map[string][]record), runs: make(map[string]int)}
 }
 
 // Digest returns the digest of an organisation's request with the given contents, such as
@@ -78,118 +92,239 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// IsSuspect reports whether a request must run alone.
-func (s *Suspecter) IsSuspect(digest string) bool {
-	_, ok := s.lookup(digest)
-	return ok
+// Verdict returns the verdict on a request.
+func (s *Suspecter) Verdict(digest string) Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.judge(digest)
 }
 
-// IsPoison reports whether a request must not run.
-func (s *Suspecter) IsPoison(digest string) bool {
-	v, ok := s.lookup(digest)
-	return ok && v.poison
+// Crashes returns the crashes that a request is suspected of, oldest first.
+func (s *Suspecter) Crashes(digest string) []Observation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes(digest)
 }
 
-// Begin records the start of a request; finish must be called at its end and be told
-// whether the target has crashed.
-func (s *Suspecter) Begin(digest string) (finish func(crashed bool)) {
+// ForgottenIn returns the time after which the verdict on a request lapses unless it
+// crashes another target.
+func (s *Suspecter) ForgottenIn(digest string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current := &activeRun{alone: len(s.running) == 0}
-	for other := range s.running {
-		other.alone = false
+	left := time.Duration(0)
+	for _, c := range s.crashes(digest) {
+		left = max(left, lifetime-s.now().Sub(c.At))
 	}
-	s.running[current] = struct{}{}
-	return func(crashed bool) { s.finish(current, digest, crashed) }
+	return left
 }
 
-func (s *Suspecter) finish(finished *activeRun, digest string, crashed bool) {
+// Observe adds an observation of this process and returns the new verdict.
+func (s *Suspecter) Observe(o Observation) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.running, finished)
-	if !crashed {
-		return
+	s.add(o, true)
+	return s.judge(o.Digest)
+}
+
+// Answered records that a target has answered a request. It reports whether the request
+// was suspect.
+func (s *Suspecter) Answered(digest string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashes := s.crashes(digest)
+	if len(crashes) == 0 {
+		return false
 	}
-	previous, known := s.current(digest)
-	s.set(digest, classification{poison: previous.poison || (known && finished.alone), updatedAt: s.now()})
+	at := s.now()
+	for _, c := range crashes {
+		if c.At.After(at) { // seen by a process whose clock is ahead
+			at = c.At
+		}
+	}
+	s.add(Observation{Digest: digest, At: at}, true)
+	return true
 }
 
-// MarkSuspect records a request as suspect unless it is known as suspect or poison.
-func (s *Suspecter) MarkSuspect(digest string) {
-	s.Merge([]string{suspectPrefix + digest})
+// Merge adds the observations of a peer and returns the digests that have become poison.
+func (s *Suspecter) Merge(observations []Observation) (poison []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range observations {
+		if o.Digest == "" || len(o.Digest) > maxNameBytes || len(o.Run) > maxNameBytes {
+			continue // not written by this program
+		}
+		before := s.judge(o.Digest)
+		s.add(o, false)
+		if before != Poison && s.judge(o.Digest) == Poison {
+			poison = append(poison, o.Digest)
+		}
+	}
+	return poison
 }
 
-// MarkPoison records a request as poison.
-func (s *Suspecter) MarkPoison(digest string) {
-	s.Merge([]string{poisonPrefix + digest})
+// Restore adds observations of an earlier process of this host as this one's own.
+func (s *Suspecter) Restore(observations []Observation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range observations {
+		s.add(o, true)
+	}
 }
 
-// Merge adds the entries that a peer has sent.
-func (s *Suspecter) Merge(recent []string) {
+// Since returns up to maxBatch observations that arrived after the cursor, oldest first,
+// and the cursor for the next call. The first cursor is 0.
+func (s *Suspecter) Since(cursor uint64, scope Scope) ([]Observation, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, entry := range recent {
-		prefix, digest := entry[:min(len(entry), len(suspectPrefix))], strings.TrimPrefix(strings.TrimPrefix(entry, suspectPrefix), poisonPrefix)
-		previous, known := s.current(digest)
-		poison := prefix == poisonPrefix
-		if !known || (poison && !previous.poison) {
-			s.set(digest, classification{poison: poison, updatedAt: s.now()})
-		}
+	if cursor >= s.sequence {
+		return nil, cursor
 	}
+	selected := s.selected(func(r record) bool { return r.sequence > cursor && (scope == All || r.own) })
+	if len(selected) <= maxBatch {
+		return observations(selected), s.sequence
+	}
+	selected = selected[:maxBatch]
+	return observations(selected), selected[maxBatch-1].sequence
 }
 
-// Recent returns the entries to send to peers.
-func (s *Suspecter) Recent() []string {
+// Newest returns up to n observations: those of poison requests first, then the newest
+// ones.
+func (s *Suspecter) Newest(n int, scope Scope) []Observation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var entries []string
-	for digest, v := range s.classifications {
-		if len(entries) == maxGossipEntries {
-			break
-		}
-		if s.now().Sub(v.updatedAt) > gossipTime {
-			continue
+	selected := s.selected(func(r record) bool { return scope == All || r.own })
+	slices.Reverse(selected)
+	slices.SortStableFunc(selected, func(a, b record) int {
+		return cmp.Compare(s.judge(b.Digest)/Poison, s.judge(a.Digest)/Poison)
+	})
+	return observations(selected[:min(n, len(selected))])
+}
+
+// selected returns the matching records that have not expired, in the order of their
+// arrival; s.mu must be held.
+func (s *Suspecter) selected(match func(record) bool) (selected []record) {
+	for digest := range s.records {
+		for _, r := range s.current(digest) {
+			if match(r) {
+				selected = append(selected, r)
+			}
 		}
-		prefix := suspectPrefix
-		if v.poison {
-			prefix = poisonPrefix
+	}
+	slices.SortFunc(selected, func(a, b record) int { return cmp.Compare(a.sequence, b.sequence) })
+	return selected
+}
+
+func observations(records []record) []Observation {
+	out := make([]Observation, 0, len(records))
+	for _, r := range records {
+		out = append(out, r.Observation)
+	}
+	return out
+}
+
+// judge returns the verdict on a request; s.mu must be held.
+func (s *Suspecter) judge(digest string) Verdict {
+	return Judge(s.crashes(digest), func(run string) bool { return s.runs[run] == 1 })
+}
+
+// crashes returns the crashes of a request; s.mu must be held.
+func (s *Suspecter) crashes(digest string) (crashes []Observation) {
+	for _, r := range s.current(digest) {
+		if r.Run != "" {
+			crashes = append(crashes, r.Observation)
 		}
-		entries = append(entries, prefix+digest)
 	}
-	return entries
+	return crashes
 }
 
-func (s *Suspecter) lookup(digest string) (classification, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.current(digest)
+// current returns the records of a digest and drops the expired ones; s.mu must be held.
+func (s *Suspecter) current(digest string) []record {
+	records, ok := s.records[digest]
+	if !ok {
+		return nil
+	}
+	now := s.now()
+	return s.keep(digest, records, func(r record) bool { return now.Sub(r.At) <= lifetime })
 }
 
-// current returns the classification of a digest unless it has expired; s.mu must be
+// keep replaces the records of a digest by those for which want returns true; s.mu must be
 // held.
-func (s *Suspecter) current(digest string) (classification, bool) {
-	v, ok := s.classifications[digest]
-	if ok && s.now().Sub(v.updatedAt) > lifetime {
-		delete(s.classifications, digest)
-		return classification{}, false
+func (s *Suspecter) keep(digest string, records []record, want func(record) bool) []record {
+	if !slices.ContainsFunc(records, func(r record) bool { return !want(r) }) {
+		return records
 	}
-	return v, ok
+	var kept []record
+	for _, r := range records {
+		if want(r) {
+			kept = append(kept, r)
+			continue
+		}
+		s.count--
+		if s.runs[r.Run]--; s.runs[r.Run] == 0 {
+			delete(s.runs, r.Run)
+		}
+	}
+	if len(kept) == 0 {
+		delete(s.records, digest)
+		return nil
+	}
+	s.records[digest] = kept
+	return kept
 }
 
-// set stores a classification and evicts the oldest entry if there are too many.
-func (s *Suspecter) set(digest string, v classification) {
-	if _, exists := s.classifications[digest]; !exists && len(s.classifications) >= maxEntries {
-		s.evictOldest()
+// add stores an observation unless it is known, was followed by an answer, or has
+// expired; s.mu must be held.
+func (s *Suspecter) add(o Observation, own bool) {
+	now := s.now()
+	if latest := now.Add(maxClockSkew); o.At.After(latest) {
+		o.At = latest
 	}
-	s.classifications[digest] = v
+	if now.Sub(o.At) > lifetime {
+		return
+	}
+	records := s.current(o.Digest)
+	for i, r := range records {
+		switch {
+		case r.Run == "" && !r.At.Before(o.At):
+			return
+		case r.Run == o.Run && o.Run != "":
+			if own && !r.own {
+				s.sequence++
+				records[i].own, records[i].sequence = true, s.sequence
+			}
+			return
+		}
+	}
+	if o.Run == "" {
+		records = s.keep(o.Digest, records, func(r record) bool { return r.At.After(o.At) })
+	}
+	if s.count >= maxRecords {
+		s.evict()
+		records = s.records[o.Digest]
+	}
+	s.sequence++
+	s.records[o.Digest] = append(records, record{Observation: o, sequence: s.sequence, own: own})
+	s.runs[o.Run]++
+	s.count++
 }
 
-func (s *Suspecter) evictOldest() {
-	oldest := ""
-	for digest, v := range s.classifications {
-		if oldest == "" || v.updatedAt.Before(s.classifications[oldest].updatedAt) {
-			oldest = digest
-		}
+// evict drops an eighth of the requests: those whose last observation is the oldest, and
+// poison ones only if there are no others; s.mu must be held.
+func (s *Suspecter) evict() {
+	type candidate struct {
+		digest  string
+		verdict Verdict
+		at      time.Time
+	}
+	var candidates []candidate
+	for digest, records := range s.records {
+		newest := slices.MaxFunc(records, func(a, b record) int { return a.At.Compare(b.At) })
+		candidates = append(candidates, candidate{digest: digest, verdict: s.judge(digest) / Poison, at: newest.At})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.verdict, b.verdict), a.at.Compare(b.at))
+	})
+	for _, c := range candidates[:len(candidates)/8+1] {
+		s.keep(c.digest, s.records[c.digest], func(record) bool { return false })
 	}
-	delete(s.classifications, oldest)
 }
