Gateway: a request that crashes targets is refused once it is known

Cause: the gateway treated each arrival as the first. It kept no memory of what was running at a target that broke off, told nobody, and sent a request that may be repeated to a second target 10 ms after the first had ended under it.

Change: an attempt that breaks off at a target that still counts as serving, and whose address then refuses connections, is a crash of that run. Poison is refused with 503, the reason and the time until it is forgotten. One request crashes two targets at most. Suspects are placed apart from each other. A target that drains, is gone from the store, still accepts connections (reset, frozen, replaced) or does not answer the dial has not crashed.

--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -162,6 +162,16 @@
 	r.pool.put(r.address, r.conn, idleTimeout(r.Header))
 }
 
+// Refused dials an address and reports whether the connection was refused, so that nothing
+// listens there. An accepted connection is kept for the next request.
+func (p *Pool) Refused(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err == nil {
+		p.put(address, c, defaultIdleTimeout)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // CloseIdle closes idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
@@ -185,6 +195,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, address)
+}
+
+// dial opens a new connection.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
 	}, Control: setUserTimeout}
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -36,6 +37,8 @@
 // has failed for stableAfter.
 type tableFollower struct {
 	table string
+	// wait is how long the store may hold a Watch call open; 0 means feedWait.
+	wait time.Duration
 	// replace is called with all rows of the table, change with one changed row.
 	replace func(rows []storer.Row, stable bool)
 	change  func(row storer.Row, stable bool)
@@ -50,7 +53,7 @@
 		var batch storer.RowBatch
 		var err error
 		if listed {
-			batch, err = g.store.Watch(ctx, f.table, next, feedWait)
+			batch, err = g.store.Watch(ctx, f.table, next, cmp.Or(f.wait, feedWait))
 		} else {
 			batch, err = g.store.List(ctx, f.table)
 		}
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -13,6 +13,7 @@
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/request/admitter"
 	"github.com/egretroute/egretroute/internal/request/placer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -56,6 +57,10 @@
 		if q.deadline.Sub(now) < minAttemptTime {
 			return timedOut(q)
 		}
+		if ref := g.refuseIfPoison(q); ref != nil {
+			return ref
+		}
+		shape.Suspect = q.verdict != suspecter.Innocent
 		target, ok := g.nextTarget(q, shape, now)
 		if !ok {
 			return noTargetLeft(q, noTargetRetryAfter)
@@ -200,6 +205,9 @@
 	}
 	ejection := g.tracker.recordLoss(target.ID, time.Now())
 	g.pool.CloseIdle(target.Address)
+	if result == resultFailed && ctx.Err() == nil && g.hasCrashed(ctx, target) {
+		g.recordCrash(q, target)
+	}
 	logger.AttemptFailed.Log(g.Log, "request", q.ID, "digest", q.digest, "target", target.ID, "revision", target.Revision,
 		"sent", result != resultUnsent, "beside", g.tracker.runningAt(target.ID)-1, "aside", ejection, "error", err)
 	return result
@@ -280,6 +288,9 @@
 		return resultAnswered
 	}
 	out.finish()
+	if resp.Status < http.StatusInternalServerError {
+		g.recordAnswer(q, target)
+	}
 	return resultAnswered
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -128,6 +129,15 @@
 	relayServer    *relayer.Server
 	// store calls Store directly or relays calls through other processes.
 	store Store
+	// suspects holds the crashes that the fleet has seen, crashes exchanges them with other
+	// routers.
+	suspects *suspecter.Suspecter
+	crashes  suspecter.Exchange[*linker.Link]
+	// crashesKnown is set once the crashes that others have seen are loaded.
+	crashesKnown atomic.Bool
+	// crashSignal wakes storeCrashes; storedCrashes is what it has written last.
+	crashSignal   chan struct{}
+	storedCrashes atomic.Pointer[[]byte]
 }
 
 const (
@@ -159,6 +169,9 @@
 	g.rowCache = newRowCache()
 	g.pool = &exchanger.Pool{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections}
 	g.SetLimits(g.Limits)
+	g.suspects = suspecter.New(time.Now)
+	g.crashes.Suspecter, g.crashes.Scope = g.suspects, suspecter.Own
+	g.crashSignal = make(chan struct{}, 1)
 	g.peers = g.newPeerLinks()
 	g.store = &relayer.Store{Direct: g.Store, Links: g.peers.links, OnLost: g.onDirectLost, OnRestored: g.onDirectRestored}
 	g.relayServer = &relayer.Server{Store: g.Store}
@@ -180,6 +193,8 @@
 	g.workers.Go(func() { g.followConfiguration(workCtx) })
 	g.workers.Go(func() { g.followTargets(workCtx) })
 	g.workers.Go(func() { g.followMembers(workCtx) })
+	g.workers.Go(func() { g.followCrashes(workCtx) })
+	g.workers.Go(func() { g.storeCrashes(workCtx) })
 	g.workers.Go(func() { g.pushReports(workCtx) })
 	g.workers.Go(func() { g.fetchFromPeers(workCtx) })
 	g.workers.Go(func() { g.enroll(workCtx) })
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -67,8 +67,12 @@
 	deliveredEvents int64
 	// attempts counts the targets that the request was sent to; mayHaveRun is set once
 	// one of them may have run it.
-	attempts     int
-	mayHaveRun   bool
+	attempts   int
+	mayHaveRun bool
+	// crashes counts the targets that crashed while they ran the request; verdict is what
+	// was known of its contents before the current attempt.
+	crashes      int
+	verdict      suspecter.Verdict
 	triedTargets map[string]bool
 	// firstByteAfter and lastAttemptAfter are the times from the start to the first
 	// byte of the response and to the last attempt.
@@ -126,6 +130,9 @@
 	if ref := g.admit(out.w, q); ref != nil {
 		return ref
 	}
+	if ref := g.refuseIfPoison(q); ref != nil {
+		return ref
+	}
 	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
 	if ref := g.reserve(ctx, q); ref != nil {
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -16,6 +16,7 @@
 	firstByte *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
 	commits   *prometheus.CounterVec
+	crashes   *prometheus.CounterVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -33,9 +34,12 @@
 		commits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_budget_commits_total", Help: "Commits of budget rows by outcome.",
 		}, []string{"outcome"}),
+		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_crashed_requests_total", Help: "Requests whose target crashed while it ran them, by the verdict on them.",
+		}, []string{"verdict"}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits)
+		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes)
 	}
 	return m
 }
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 const (
@@ -58,8 +59,9 @@
 		routers: &connector.Connector{
 			Self: self, Secret: g.Secret, Interval: reportInterval, BytesPerSecond: reportBytesPerSecond, Heartbeat: g.exchangeReports,
 			OnUp: up,
-			OnDown: func(name string, _ *linker.Link) {
+			OnDown: func(name string, link *linker.Link) {
 				g.tracker.removePeer(name)
+				g.crashes.Drop(link)
 				logger.PeerLost.Log(g.Log, "peer", name)
 			},
 		},
@@ -89,19 +91,21 @@
 	return err
 }
 
-// exchangeReports sends this router's running requests to a peer and applies the
-// peer's report from the reply.
+// exchangeReports sends this router's running requests and the crashes that it has seen
+// to a peer and applies the peer's report from the reply.
 func (g *Gateway) exchangeReports(ctx context.Context, name string, link *linker.Link) error {
-	reply, err := linker.Call[*framer.PeerReport](ctx, link, g.report())
+	crashes := g.crashes.Request(link)
+	reply, err := linker.Call[*framer.PeerReport](ctx, link, g.report(crashes))
 	if err != nil {
 		return err
 	}
 	g.applyReport(name, reply)
+	g.logPoison(name, g.crashes.Finish(link, crashes, reply.Crashes))
 	return nil
 }
 
-func (g *Gateway) report() *framer.PeerReport {
-	return &framer.PeerReport{Incarnation: g.Incarnation, Loads: g.tracker.ownLoads()}
+func (g *Gateway) report(crashes suspecter.Message) *framer.PeerReport {
+	return &framer.PeerReport{Incarnation: g.Incarnation, Loads: g.tracker.ownLoads(), Crashes: crashes}
 }
 
 func (g *Gateway) applyReport(name string, r *framer.PeerReport) {
@@ -116,7 +120,9 @@
 	switch m := first.(type) {
 	case *framer.PeerReport:
 		g.applyReport(s.Peer.Name, m)
-		_ = s.Write(g.report()) // on failure the peer sees the stream end
+		crashes, poison := g.suspects.Reply(m.Crashes, suspecter.Own)
+		g.logPoison(s.Peer.Name, poison)
+		_ = s.Write(g.report(crashes)) // on failure the peer sees the stream end
 	case *framer.FetchRowCache:
 		_ = s.Write(g.cachedRows()) // on failure the peer sees the stream end
 	case *framer.Reserve:
@@ -194,14 +200,14 @@
 	return chosen
 }
 
-// pushReports sends reports to peers as soon as a long request begins or ends. Peers
-// that don't know of a long request would place their own behind it.
+// pushReports sends reports to peers as soon as a long request begins or ends, or a target
+// has crashed. Peers that don't know of a long request would place their own behind it.
 func (g *Gateway) pushReports(ctx context.Context) {
 	var inProgress sync.Map // names of peers with a push under way
 	for ctx.Err() == nil {
 		pauser.Pause(ctx, pushInterval)
 		names := g.peers.routers.Live()
-		if len(names) > maxPushPeers || !g.tracker.takeLongChanged() {
+		if len(names) > maxPushPeers || !g.tracker.takeUrgentChange() {
 			continue
 		}
 		for _, name := range names {
--- a/internal/process/gateway/rowcache.go
+++ b/internal/process/gateway/rowcache.go
@@ -11,6 +11,7 @@
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 const (
@@ -74,7 +75,9 @@
 	if !g.ready() {
 		return &framer.RowCache{}
 	}
-	return g.rowCache.message()
+	m := g.rowCache.message()
+	m.Crashes = g.suspects.Newest(maxCachedCrashes, suspecter.All)
+	return m
 }
 
 // fetchFromPeers fetches the seeds' cached rows until this router is ready.
@@ -92,9 +95,10 @@
 	}
 }
 
-// ready reports whether a configuration and a full list of targets have been loaded.
+// ready reports whether a configuration, a full list of targets and the crashes that
+// others have seen have been loaded.
 func (g *Gateway) ready() bool {
-	return g.matcher.Load() != nil && g.targets.Synced()
+	return g.matcher.Load() != nil && g.targets.Synced() && g.crashesKnown.Load()
 }
 
 func (g *Gateway) fetchFromPeer(ctx context.Context, address string) {
@@ -110,6 +114,8 @@
 		return // the seed has only just started itself
 	}
 	g.applyConfiguration(cached.Configuration)
+	g.logPoison(link.Peer.Name, g.suspects.Merge(cached.Crashes))
+	g.crashesKnown.Store(true)
 	if !g.targets.Synced() {
 		var entries []registrar.Entry
 		for _, row := range cached.Targets {
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -48,6 +48,7 @@
 			g.tracker.recordSuccess(target.ID, q.inFlight.startedAt)
 			q.outcome = outcomeAnswered
 			out.finish()
+			g.recordAnswer(q, target)
 			return resultAnswered
 		case err != nil || q.splitter.TooLong():
 			return g.recordFailedAttempt(ctx, q, target, errOr(err, io.ErrUnexpectedEOF), resultFailed)
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -37,8 +37,10 @@
 	// pendingTokens is the number of prompt tokens still to be prefilled.
 	pendingTokens int64
 	// short and long count running requests; those of plain services count as short.
-	short    int
-	long     int
+	short int
+	long  int
+	// suspects counts the running requests that are suspected of a crash.
+	suspects int
 	health   ejector.Health
 	prefixes prefixCache
 	// secondsPerToken is the prefill time per token: a moving average of the time to
@@ -81,20 +83,27 @@
 	services  map[string]*serviceState
 	peerLoads map[string]peerLoads
 	running   int
-	// longChanged is set when a long request begins or ends; peers are told of it
-	// before the next regular report.
-	longChanged bool
+	// urgentChange is set when a long request begins or ends, or a target has crashed;
+	// peers are told of it before the next regular report.
+	urgentChange bool
 }
 
-// takeLongChanged returns longChanged and clears it.
-func (t *targetTracker) takeLongChanged() bool {
+// takeUrgentChange returns urgentChange and clears it.
+func (t *targetTracker) takeUrgentChange() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := t.longChanged
-	t.longChanged = false
+	changed := t.urgentChange
+	t.urgentChange = false
 	return changed
 }
 
+// markUrgentChange sets urgentChange.
+func (t *targetTracker) markUrgentChange() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.urgentChange = true
+}
+
 // peerLoads is another router's last report of its running requests, by target.
 type peerLoads struct {
 	receivedAt time.Time
@@ -173,7 +182,7 @@
 		targets[i] = placer.Target{
 			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, PendingTokens: s.pendingTokens + peers.PendingTokens,
 			Running: s.short + s.long + peers.ShortRequests + peers.LongRequests, Ejected: s.health.Ejected(now),
-			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean),
+			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean), Suspects: s.suspects,
 		}
 	}
 	split := placer.PoolSplit{ShortTargets: t.shortTargets(service, demand, len(entries), slots, now)}
@@ -282,9 +291,12 @@
 
 func (t *targetTracker) addRunning(s *targetState, shape placer.Request, n int) {
 	t.running += n
+	if shape.Suspect {
+		s.suspects += n
+	}
 	if shape.Engine && shape.Long() {
 		s.long += n
-		t.longChanged = true
+		t.urgentChange = true
 		return
 	}
 	s.short += n
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -49,43 +49,50 @@
 
 // Events of gateways and companions.
 var (
-	GatewayStarted          = Event{301, slog.LevelInfo, "gateway started", "none"}
-	GatewayDraining         = Event{302, slog.LevelInfo, "gateway is draining and will take no new connections", "none"}
-	GatewayStopped          = Event{303, slog.LevelInfo, "gateway has stopped and returned its tokens", "none; if requests were cut off, check shutdownLimit in the settings"}
-	MetricsServerFailed     = Event{304, slog.LevelError, "metrics server failed", "check metricsAddress in the settings"}
-	SettingsReloaded        = Event{305, slog.LevelInfo, "settings file reloaded", "none"}
-	SettingsRefused         = Event{306, slog.LevelError, "settings file has faults; the last valid settings stay active", "correct the keys that the line names"}
-	CompanionStarted        = Event{307, slog.LevelInfo, "companion started", "none"}
-	CompanionStopped        = Event{308, slog.LevelInfo, "companion stopped", "none"}
-	MemberEnrolled          = Event{309, slog.LevelInfo, "process registered in the store", "none"}
-	FeedFailed              = Event{310, slog.LevelWarn, "change feed of a table failed", "check the platform's store; the last known rows stay in use"}
-	FeedRecovered           = Event{311, slog.LevelInfo, "change feed of a table works again", "none"}
-	FeedReset               = Event{312, slog.LevelWarn, "change history of a table is lost; the table is read again", "none"}
-	ConfigurationApplied    = Event{313, slog.LevelInfo, "configuration document applied", "none"}
-	ConfigurationUnreadable = Event{314, slog.LevelError, "configuration document is unreadable", "check that the gateway's release supports the document's format"}
-	TargetsListed           = Event{320, slog.LevelInfo, "complete list of targets read", "none"}
-	TargetUpdated           = Event{321, slog.LevelInfo, "target entry changed", "none"}
-	TargetRemoved           = Event{322, slog.LevelInfo, "target entry removed", "none"}
-	TargetUnreadable        = Event{323, slog.LevelWarn, "target entry is unreadable and counts as no target", "check what wrote the entry"}
-	StoreDirectPathLost     = Event{324, slog.LevelWarn, "direct path to the store lost; calls are relayed", "check the link to the store"}
-	StoreDirectPathRestored = Event{325, slog.LevelInfo, "direct path to the store restored", "none"}
-	MemberUnreadable        = Event{326, slog.LevelWarn, "row of a process is unreadable", "check that all processes run the same release"}
-	RowsFetchedFromPeer     = Event{327, slog.LevelInfo, "configuration and targets fetched from another router", "none; the platform's store is unreachable"}
-	AttemptFailed           = Event{330, slog.LevelWarn, "attempt on a target failed", "check the target and the link"}
-	TargetRefused           = Event{331, slog.LevelInfo, "target refused a request without running it", "none; many of them mean that the service is at capacity"}
-	TargetFailed            = Event{332, slog.LevelInfo, "target responded with a failure", "check the target"}
-	NoTargetInTime          = Event{333, slog.LevelWarn, "no target is expected to be free in time", "too few targets, or too much load: see wait and firstToken"}
-	StreamResumed           = Event{334, slog.LevelInfo, "stream resumes at another target", "none"}
-	RequestEnded            = Event{340, slog.LevelInfo, "request answered", "none"}
-	RequestNotAnswered      = Event{341, slog.LevelWarn, "request not answered", "see docs/OPERATIONS.md"}
-	BudgetRefused           = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
-	TokensLent              = Event{343, slog.LevelInfo, "tokens lent to another router", "none"}
-	LoanUnreported          = Event{344, slog.LevelWarn, "cost of a loan could not be reported", "none; the lender counts the whole loan as spent"}
-	BudgetCommitFailed      = Event{350, slog.LevelWarn, "commit of budget rows failed", "check the platform's store; spending continues from the tokens held"}
-	BudgetRowUnreadable     = Event{351, slog.LevelError, "budget row is unreadable", "check that all routers run the same release"}
-	HoldingRecovered        = Event{352, slog.LevelWarn, "holding of an earlier incarnation taken over", "none; tokens that it may have spent count as spent"}
-	HeartbeatFailed         = Event{353, slog.LevelWarn, "heartbeat to the platform's store failed", "check the store and the link; spending continues from the tokens held"}
-	HeartbeatRecovered      = Event{354, slog.LevelInfo, "heartbeat to the platform's store succeeds again", "none"}
+	GatewayStarted            = Event{301, slog.LevelInfo, "gateway started", "none"}
+	GatewayDraining           = Event{302, slog.LevelInfo, "gateway is draining and will take no new connections", "none"}
+	GatewayStopped            = Event{303, slog.LevelInfo, "gateway has stopped and returned its tokens", "none; if requests were cut off, check shutdownLimit in the settings"}
+	MetricsServerFailed       = Event{304, slog.LevelError, "metrics server failed", "check metricsAddress in the settings"}
+	SettingsReloaded          = Event{305, slog.LevelInfo, "settings file reloaded", "none"}
+	SettingsRefused           = Event{306, slog.LevelError, "settings file has faults; the last valid settings stay active", "correct the keys that the line names"}
+	CompanionStarted          = Event{307, slog.LevelInfo, "companion started", "none"}
+	CompanionStopped          = Event{308, slog.LevelInfo, "companion stopped", "none"}
+	MemberEnrolled            = Event{309, slog.LevelInfo, "process registered in the store", "none"}
+	FeedFailed                = Event{310, slog.LevelWarn, "change feed of a table failed", "check the platform's store; the last known rows stay in use"}
+	FeedRecovered             = Event{311, slog.LevelInfo, "change feed of a table works again", "none"}
+	FeedReset                 = Event{312, slog.LevelWarn, "change history of a table is lost; the table is read again", "none"}
+	ConfigurationApplied      = Event{313, slog.LevelInfo, "configuration document applied", "none"}
+	ConfigurationUnreadable   = Event{314, slog.LevelError, "configuration document is unreadable", "check that the gateway's release supports the document's format"}
+	TargetsListed             = Event{320, slog.LevelInfo, "complete list of targets read", "none"}
+	TargetUpdated             = Event{321, slog.LevelInfo, "target entry changed", "none"}
+	TargetRemoved             = Event{322, slog.LevelInfo, "target entry removed", "none"}
+	TargetUnreadable          = Event{323, slog.LevelWarn, "target entry is unreadable and counts as no target", "check what wrote the entry"}
+	StoreDirectPathLost       = Event{324, slog.LevelWarn, "direct path to the store lost; calls are relayed", "check the link to the store"}
+	StoreDirectPathRestored   = Event{325, slog.LevelInfo, "direct path to the store restored", "none"}
+	MemberUnreadable          = Event{326, slog.LevelWarn, "row of a process is unreadable", "check that all processes run the same release"}
+	RowsFetchedFromPeer       = Event{327, slog.LevelInfo, "configuration and targets fetched from another router", "none; the platform's store is unreachable"}
+	AttemptFailed             = Event{330, slog.LevelWarn, "attempt on a target failed", "check the target and the link"}
+	TargetRefused             = Event{331, slog.LevelInfo, "target refused a request without running it", "none; many of them mean that the service is at capacity"}
+	TargetFailed              = Event{332, slog.LevelInfo, "target responded with a failure", "check the target"}
+	NoTargetInTime            = Event{333, slog.LevelWarn, "no target is expected to be free in time", "too few targets, or too much load: see wait and firstToken"}
+	StreamResumed             = Event{334, slog.LevelInfo, "stream resumes at another target", "none"}
+	TargetCrashedUnderRequest = Event{335, slog.LevelWarn, "target crashed while it ran a request", "check the target; verdict says what the request is suspected of"}
+	PoisonRefused             = Event{336, slog.LevelWarn, "request refused: its contents crash the targets that run it", "explain its digest; tell the organisation"}
+	PoisonLearned             = Event{337, slog.LevelWarn, "another router has seen that requests with these contents crash targets", "explain the digest"}
+	SuspicionCleared          = Event{338, slog.LevelInfo, "target answered a request that was suspected of a crash", "none"}
+	RequestEnded              = Event{340, slog.LevelInfo, "request answered", "none"}
+	RequestNotAnswered        = Event{341, slog.LevelWarn, "request not answered", "see docs/OPERATIONS.md"}
+	BudgetRefused             = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
+	TokensLent                = Event{343, slog.LevelInfo, "tokens lent to another router", "none"}
+	LoanUnreported            = Event{344, slog.LevelWarn, "cost of a loan could not be reported", "none; the lender counts the whole loan as spent"}
+	BudgetCommitFailed        = Event{350, slog.LevelWarn, "commit of budget rows failed", "check the platform's store; spending continues from the tokens held"}
+	BudgetRowUnreadable       = Event{351, slog.LevelError, "budget row is unreadable", "check that all routers run the same release"}
+	HoldingRecovered          = Event{352, slog.LevelWarn, "holding of an earlier incarnation taken over", "none; tokens that it may have spent count as spent"}
+	HeartbeatFailed           = Event{353, slog.LevelWarn, "heartbeat to the platform's store failed", "check the store and the link; spending continues from the tokens held"}
+	HeartbeatRecovered        = Event{354, slog.LevelInfo, "heartbeat to the platform's store succeeds again", "none"}
+	CrashesNotStored          = Event{355, slog.LevelWarn, "crashes could not be written to the platform's store", "check the store and the link; other routers are still told directly"}
+	CrashesStored             = Event{356, slog.LevelInfo, "crashes are written to the platform's store again", "none"}
+	CrashRowUnreadable        = Event{357, slog.LevelError, "row of crashes is unreadable", "check that all routers run the same release"}
 )
 
 // Catalogue lists all events in ascending order of number.
@@ -99,6 +106,6 @@
 	GatewayStarted, GatewayDraining, GatewayStopped, MetricsServerFailed, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedRecovered, FeedReset,
 	ConfigurationApplied, ConfigurationUnreadable, TargetsListed, TargetUpdated, TargetRemoved, TargetUnreadable, StoreDirectPathLost, StoreDirectPathRestored, MemberUnreadable,
 	RowsFetchedFromPeer,
-	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
-	BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered,
+	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, PoisonLearned, SuspicionCleared, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
+	BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable,
 }
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// Serving reports whether a target is still listed as it was, neither draining nor with a
+// missing entry nor started anew.
+func (r *Registrar) Serving(e Entry) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.targets[e.ID]
+	return ok && !t.Draining && t.removeAt.IsZero() && !t.misdirected && t.StartedAt.Equal(e.StartedAt)
+}
+
 // MarkMisdirected withholds a target from Service until its entry changes, because
 // another target responded at its address. It does nothing if the entry has another
 // revision.
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -16,6 +16,9 @@
 //     target only if waiting there would take longer.
 //   - Plain services. The least loaded target takes the request; among equally
 //     loaded ones, a target in the router's own failure domain.
+//   - Requests that may crash their target. Suspects are kept apart from each other, so
+//     that a crash has one cause. At a plain service other requests avoid their targets
+//     too, as long as the others have room.
 //
 // # Usage
 //
@@ -73,6 +76,8 @@
 	AffinityKey uint64
 	// Engine is set for a request to a model engine.
 	Engine bool
+	// Suspect is set for a request that was running at a target that crashed.
+	Suspect bool
 	// Domain is the router's failure domain.
 	Domain string
 }
@@ -97,13 +102,16 @@
 	Cached bool
 	// Ejected is set for a while after failures; the target is ranked last then.
 	Ejected bool
+	// Suspects is the number of suspects among the running requests.
+	Suspects int
 	// Slowness is the factor by which the target is slower than its peers, or 0 if unknown.
 	Slowness float64
 }
 
-// loadPerSlot returns the number of running requests per slot.
+// loadPerSlot returns the number of running requests per slot. Each suspect counts as a
+// full target.
 func (t Target) loadPerSlot() float64 {
-	return float64(t.Running) / float64(max(t.Slots, 1))
+	return float64(t.Running)/float64(max(t.Slots, 1)) + float64(t.Suspects)
 }
 
 // waitTokens returns the prefill before the request's first token, in tokens,
@@ -178,7 +186,11 @@
 	if len(ranked) == 0 || (len(otherRanked) > 0 && spills(r, targets[otherRanked[0].Index], ranked[0].Cost, otherRanked[0].Cost)) {
 		ranked, otherRanked = otherRanked, ranked
 	}
-	return ejectedLast(append(ranked, otherRanked...), targets)
+	order := slices.Concat(ranked, otherRanked)
+	if r.Suspect {
+		order = last(order, func(c Choice) bool { return targets[c.Index].Suspects > 0 })
+	}
+	return ejectedLast(order, targets)
 }
 
 // spills reports whether a request should leave the targets for its kind for the
@@ -288,8 +300,11 @@
 
 // ejectedLast moves ejected targets to the end.
 func ejectedLast(order []Choice, targets []Target) []Choice {
-	slices.SortStableFunc(order, func(a, b Choice) int {
-		return cmp.Compare(asInt(targets[a.Index].Ejected), asInt(targets[b.Index].Ejected))
-	})
+	return last(order, func(c Choice) bool { return targets[c.Index].Ejected })
+}
+
+// last moves the choices for which match returns true to the end.
+func last(order []Choice, match func(Choice) bool) []Choice {
+	slices.SortStableFunc(order, func(a, b Choice) int { return cmp.Compare(asInt(match(a)), asInt(match(b))) })
 	return order
 }
