Gateway: what ran beside a request that crashes targets is not sent beside it again

They were retried at the same next target as that one, all in the same millisecond, and two attempts are what their routes allow. One of them was also called poison for some microseconds: it was the first of its batch to report the second crash.

Change: a router begins a suspect at a target only when none of its other suspects runs there; it waits for that up to 0.8 s or half of the time left, goes on at the end of the wait at the target with the fewest, and tells its peers how many it has where. Other requests of a plain service avoid such a target while others have room. A second crash counts as alone only if the router that saw it had nothing else there, and once the others have had 100 ms to report what they had. A target that has restarted under its ID counts as another one for the request.

TestSuspectsAreSpread and TestSuspectsRunApart replay the moment after a crash without I/O.

--- a/internal/connection/framer/codec.go
+++ b/internal/connection/framer/codec.go
@@ -300,9 +300,9 @@
 }
 
 func encodeCrash(o suspecter.Observation) *wire.Crash {
-	return &wire.Crash{Digest: o.Digest, Run: o.Run, AtMillis: o.At.UnixMilli(), Repeat: o.Repeat}
+	return &wire.Crash{Digest: o.Digest, Run: o.Run, AtMillis: o.At.UnixMilli(), Isolated: o.Isolated}
 }
 
 func decodeCrash(c *wire.Crash) suspecter.Observation {
-	return suspecter.Observation{Digest: c.GetDigest(), Run: c.GetRun(), At: time.UnixMilli(c.GetAtMillis()), Repeat: c.GetRepeat()}
+	return suspecter.Observation{Digest: c.GetDigest(), Run: c.GetRun(), At: time.UnixMilli(c.GetAtMillis()), Isolated: c.GetIsolated()}
 }
--- a/internal/connection/framer/fuzz_test.go
+++ b/internal/connection/framer/fuzz_test.go
@@ -18,7 +18,7 @@
 	load := framer.Load{Running: 1, Queued: 2, Capacity: 3, Draining: true}
 	dispatch := framer.Dispatch{Service: "s", Organisation: "o", Key: "k", RequestID: "r"}
 	crashes := suspecter.Message{
-		Observations: []suspecter.Observation{{Digest: "d", Run: "t@1", At: time.UnixMilli(5), Repeat: true}}, Cursor: 6, Confirmed: 7,
+		Observations: []suspecter.Observation{{Digest: "d", Run: "t@1", At: time.UnixMilli(5), Isolated: true}}, Cursor: 6, Confirmed: 7,
 	}
 	return []any{
 		&framer.Hello{Nonce: []byte{1}, Name: "n", Incarnation: "i", MAC: []byte{2}},
@@ -56,7 +56,7 @@
 			Rows: []framer.RowValue{{Key: "a//b", Version: 3, Value: []byte("v")}, {Key: "a//c", Version: 4, Deleted: true}},
 		},
 		&framer.PeerReport{
-			Incarnation: "r@1", Loads: []framer.TargetLoad{{Target: "t", PendingTokens: 7, ShortRequests: 1, LongRequests: 2}}, Crashes: crashes,
+			Incarnation: "r@1", Loads: []framer.TargetLoad{{Target: "t", PendingTokens: 7, ShortRequests: 1, LongRequests: 2, Suspects: 3}}, Crashes: crashes,
 		},
 		&framer.FetchRowCache{},
 		&framer.RowCache{
--- a/internal/connection/framer/store.go
+++ b/internal/connection/framer/store.go
@@ -79,6 +79,8 @@
 	PendingTokens int64
 	ShortRequests int
 	LongRequests  int
+	// Suspects is the number of them that are suspected of a crash.
+	Suspects int
 }
 
 // PeerReport tells another router the load that this one has placed on targets, and the
@@ -130,7 +132,7 @@
 		return &wire.Frame{Body: &wire.Frame_PeerReport{PeerReport: &wire.PeerReport{
 			Incarnation: m.Incarnation,
 			Loads: mapAll(m.Loads, func(l TargetLoad) *wire.TargetLoad {
-				return &wire.TargetLoad{Target: l.Target, Pending: l.PendingTokens, Short: int32(l.ShortRequests), Long: int32(l.LongRequests)}
+				return &wire.TargetLoad{Target: l.Target, Pending: l.PendingTokens, Short: int32(l.ShortRequests), Long: int32(l.LongRequests), Suspects: int32(l.Suspects)}
 			}),
 			Crashes: encodeCrashes(m.Crashes),
 		}}}
@@ -174,7 +176,7 @@
 		return &PeerReport{
 			Incarnation: r.GetIncarnation(),
 			Loads: mapAll(r.GetLoads(), func(l *wire.TargetLoad) TargetLoad {
-				return TargetLoad{Target: l.GetTarget(), PendingTokens: l.GetPending(), ShortRequests: int(l.GetShort()), LongRequests: int(l.GetLong())}
+				return TargetLoad{Target: l.GetTarget(), PendingTokens: l.GetPending(), ShortRequests: int(l.GetShort()), LongRequests: int(l.GetLong()), Suspects: int(l.GetSuspects())}
 			}),
 			Crashes: decodeCrashes(r.GetCrashes()),
 		}
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -201,8 +201,9 @@
 		a.targetDown.Store(true)
 		// The next request runs at another start of the target.
 		a.targetStarts.CompareAndSwap(start, start+1)
+		running, _, _, _ := a.Queue.Stats()
 		verdict := a.Suspects.Observe(suspecter.Observation{
-			Digest: run.Digest, Run: fmt.Sprintf("%s/%d", a.Incarnation, start), At: time.Now(), Repeat: suspect,
+			Digest: run.Digest, Run: fmt.Sprintf("%s/%d", a.Incarnation, start), At: time.Now(), Isolated: suspect && running == 1,
 		})
 		end.Outcome, end.Reason, end.Crashes = framer.OutcomeFailedAfterStart, ReasonCrashed, a.Suspects.Crashes(run.Digest)
 		if verdict == suspecter.Poison {
--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -30,6 +30,8 @@
 	// is the pause after a failed one.
 	crashCommitDelay = 10 * time.Millisecond
 	crashRetryDelay  = 300 * time.Millisecond
+	// crashSettleTime is within what routers need to tell each other of a crash.
+	crashSettleTime = 100 * time.Millisecond
 	// probeTimeout bounds the dial that tells a crash from a broken connection. Only a
 	// refusal counts, which takes one round trip.
 	probeTimeout = 100 * time.Millisecond
@@ -61,7 +63,9 @@
 func (g *Gateway) recordCrash(q *request, target registrar.Entry) {
 	q.crashes++
 	run := runOf(target)
-	verdict := g.suspects.Observe(suspecter.Observation{Digest: q.digest, Run: run, At: time.Now(), Repeat: q.verdict != suspecter.Innocent})
+	verdict := g.suspects.Observe(suspecter.Observation{
+		Digest: q.digest, Run: run, At: time.Now(), Isolated: q.verdict == suspecter.Suspect && g.tracker.runningAt(target.ID) == 1,
+	})
 	g.metrics.crashes.WithLabelValues(verdict.String()).Inc()
 	logger.TargetCrashedUnderRequest.Log(g.Log, "request", q.ID, "digest", q.digest, "target", target.ID, "run", run,
 		"verdict", verdict.String(), "crashes", describeCrashes(g.suspects.Crashes(q.digest)))
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -28,6 +28,9 @@
 	busyRetryAfter = 400 * time.Millisecond
 	// minAttemptTime is the minimum time until the deadline for another attempt.
 	minAttemptTime = 10 * time.Millisecond
+	// isolationTime bounds how long a suspect waits for a target apart from other suspects.
+	// Clients leave a stream after a pause of two seconds.
+	isolationTime = 800 * time.Millisecond
 	// maxDialFailures is how many unreachable targets a request may skip.
 	maxDialFailures = 4
 )
@@ -57,20 +60,11 @@
 		if q.deadline.Sub(now) < minAttemptTime {
 			return timedOut(q)
 		}
-		if ref := g.refuseIfPoison(q); ref != nil {
+		target, ref := g.place(ctx, out, q, shape, now)
+		if ref != nil {
 			return ref
 		}
-		shape.Suspect = q.verdict != suspecter.Innocent
-		target, ok := g.nextTarget(q, shape, now)
-		if !ok {
-			return noTargetLeft(q, noTargetRetryAfter)
-		}
-		if ref := g.refuseIfTooLate(q, out, shape, target, now); ref != nil {
-			return ref
-		}
-		q.triedTargets[target.ID] = true
-		q.targetID = target.ID
-		switch g.attempt(ctx, out, q, shape, target) {
+		switch g.attempt(ctx, out, q, target) {
 		case resultAnswered:
 			return nil
 		case resultUnsent:
@@ -92,6 +86,47 @@
 	return noTargetLeft(q, busyRetryAfter)
 }
 
+// place chooses a target for the next attempt and counts the request as running there. A
+// suspect waits until it can have a target apart from this router's other suspects, but for
+// isolationTime at most.
+func (g *Gateway) place(ctx context.Context, out *clientResponse, q *request, shape placer.Request, now time.Time) (registrar.Entry, *refusal) {
+	isolateUntil := now.Add(min(isolationTime, q.deadline.Sub(now)/2))
+	for {
+		if ref := g.refuseIfPoison(q); ref != nil {
+			return registrar.Entry{}, ref
+		}
+		shape.Suspect = q.verdict != suspecter.Innocent
+		target, ok := g.nextTarget(q, shape, now)
+		if !ok {
+			return target, noTargetLeft(q, noTargetRetryAfter)
+		}
+		if ref := g.refuseIfTooLate(q, out, shape, target, now); ref != nil {
+			return target, ref
+		}
+		inFlight, suspectEnded := g.tracker.begin(target.ID, shape, shape.Suspect && now.Before(isolateUntil), now)
+		if inFlight != nil {
+			q.triedRuns[runOf(target)], q.targetID, q.inFlight = true, target.ID, inFlight
+			return target, nil
+		}
+		waitFor(ctx, suspectEnded, isolateUntil)
+		if ctx.Err() != nil {
+			return target, timedOut(q)
+		}
+		now = time.Now()
+	}
+}
+
+// waitFor waits until done is closed, until the given time or until ctx ends.
+func waitFor(ctx context.Context, done <-chan struct{}, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // mayRunAgain reports whether the request may be sent to another target after one may have
 // run it: a begun stream needs a position from which to go on.
 func (q *request) mayRunAgain() bool {
@@ -134,7 +169,7 @@
 func (g *Gateway) nextTarget(q *request, shape placer.Request, now time.Time) (registrar.Entry, bool) {
 	entries := g.targets.Service(q.service.Name, now)
 	for _, c := range g.tracker.plan(q.service.Name, shape, entries, now) {
-		if e := entries[c.Index]; !q.triedTargets[e.ID] {
+		if e := entries[c.Index]; !q.triedRuns[runOf(e)] {
 			q.choice = c
 			return e, true
 		}
@@ -164,17 +199,16 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "no target was free in time", retryAfter: busyRetryAfter}
 }
 
-// attempt forwards the request to one target and its response to the client.
-func (g *Gateway) attempt(ctx context.Context, out *clientResponse, q *request, shape placer.Request, target registrar.Entry) attemptResult {
-	inFlight := g.tracker.begin(target.ID, shape, time.Now())
-	defer inFlight.end()
-	q.inFlight = inFlight
+// attempt forwards the request to the target where place has counted it, and the response
+// to the client.
+func (g *Gateway) attempt(ctx context.Context, out *clientResponse, q *request, target registrar.Entry) attemptResult {
+	defer q.inFlight.end()
 	q.lastAttemptAfter = time.Since(q.startedAt)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	resp, err := g.pool.Exchange(ctx, target.Address, exchanger.Request{
 		Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Body: q.body,
-		HasBody: q.http.ContentLength != 0, NewConnection: !q.route.Repeatable() && !shape.Engine,
+		HasBody: q.http.ContentLength != 0, NewConnection: !q.route.Repeatable() && q.service.Engine == nil,
 		Header: g.HeaderCodec.ForwardHeaders(q.http.Header, ForwardMetadata{
 			TimeLeft: time.Until(q.deadline), Target: target.ID, Organisation: q.organisationName(),
 			Priority: -1, LastEventID: q.splitter.LastID,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -170,6 +170,7 @@
 	g.pool = &exchanger.Pool{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections}
 	g.SetLimits(g.Limits)
 	g.suspects = suspecter.New(time.Now)
+	g.suspects.SettleTime = crashSettleTime
 	g.crashes.Suspecter, g.crashes.Scope = g.suspects, suspecter.Own
 	g.crashSignal = make(chan struct{}, 1)
 	g.peers = g.newPeerLinks()
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -71,9 +71,9 @@
 	mayHaveRun bool
 	// crashes counts the targets that crashed while they ran the request; verdict is what
 	// was known of its contents before the current attempt.
-	crashes      int
-	verdict      suspecter.Verdict
-	triedTargets map[string]bool
+	crashes   int
+	verdict   suspecter.Verdict
+	triedRuns map[string]bool
 	// firstByteAfter and lastAttemptAfter are the times from the start to the first
 	// byte of the response and to the last attempt.
 	firstByteAfter   time.Duration
@@ -103,7 +103,7 @@
 func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	q := &request{http: r, startedAt: time.Now(), triedTargets: make(map[string]bool)}
+	q := &request{http: r, startedAt: time.Now(), triedRuns: make(map[string]bool)}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -284,14 +284,11 @@
 	if !healthy || left <= 0 {
 		return false
 	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
+	waitFor(ctx, done, until)
 	select {
 	case <-done:
 		return true
-	case <-timer.C:
-		return false
-	case <-ctx.Done():
+	default:
 		return false
 	}
 }
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -83,6 +83,8 @@
 	services  map[string]*serviceState
 	peerLoads map[string]peerLoads
 	running   int
+	// suspectEnded is closed and replaced when a suspect ends.
+	suspectEnded chan struct{}
 	// urgentChange is set when a long request begins or ends, or a target has crashed;
 	// peers are told of it before the next regular report.
 	urgentChange bool
@@ -116,6 +118,7 @@
 func newTargetTracker() *targetTracker {
 	return &targetTracker{
 		targets: make(map[string]*targetState), services: make(map[string]*serviceState), peerLoads: make(map[string]peerLoads),
+		suspectEnded: make(chan struct{}),
 	}
 }
 
@@ -126,7 +129,7 @@
 	var out []framer.TargetLoad
 	for id, s := range t.targets {
 		if s.short+s.long > 0 {
-			out = append(out, framer.TargetLoad{Target: id, PendingTokens: s.pendingTokens, ShortRequests: s.short, LongRequests: s.long})
+			out = append(out, framer.TargetLoad{Target: id, PendingTokens: s.pendingTokens, ShortRequests: s.short, LongRequests: s.long, Suspects: s.suspects})
 		}
 	}
 	return out
@@ -162,6 +165,7 @@
 		sum.PendingTokens += load.PendingTokens
 		sum.ShortRequests += load.ShortRequests
 		sum.LongRequests += load.LongRequests
+		sum.Suspects += load.Suspects
 	}
 	return sum
 }
@@ -182,7 +186,7 @@
 		targets[i] = placer.Target{
 			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, PendingTokens: s.pendingTokens + peers.PendingTokens,
 			Running: s.short + s.long + peers.ShortRequests + peers.LongRequests, Ejected: s.health.Ejected(now),
-			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean), Suspects: s.suspects,
+			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean), Suspects: s.suspects + peers.Suspects,
 		}
 	}
 	split := placer.PoolSplit{ShortTargets: t.shortTargets(service, demand, len(entries), slots, now)}
@@ -246,10 +250,15 @@
 	prefilled     bool
 }
 
-// begin counts a request as running at a target until its end method is called.
-func (t *targetTracker) begin(target string, shape placer.Request, now time.Time) *inFlightRequest {
+// begin counts a request as running at a target until its end method is called. If alone
+// is set and this router has a suspect running there, it returns nil and a channel that is
+// closed when a suspect ends.
+func (t *targetTracker) begin(target string, shape placer.Request, alone bool, now time.Time) (*inFlightRequest, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if alone && t.target(target).suspects > 0 {
+		return nil, t.suspectEnded
+	}
 	r := &inFlightRequest{tracker: t, target: target, shape: shape, pendingTokens: shape.UniqueTokens, startedAt: now}
 	s := t.target(target)
 	if shape.Engine {
@@ -261,7 +270,7 @@
 	r.tokensAhead = s.pendingTokens + t.peerLoad(target, now).PendingTokens
 	s.pendingTokens += r.pendingTokens
 	t.addRunning(s, shape, 1)
-	return r
+	return r, nil
 }
 
 // recordFirstToken marks the prompt as prefilled and samples the time that it took.
@@ -293,6 +302,11 @@
 	t.running += n
 	if shape.Suspect {
 		s.suspects += n
+		t.urgentChange = true
+		if n < 0 {
+			close(t.suspectEnded)
+			t.suspectEnded = make(chan struct{})
+		}
 	}
 	if shape.Engine && shape.Long() {
 		s.long += n
--- a/internal/process/gateway/tracker_test.go
+++ b/internal/process/gateway/tracker_test.go
@@ -29,8 +29,10 @@
 // but not while a request is in flight there.
 func TestRemovedTargetsArePruned(t *testing.T) {
 	tracker := newTargetTracker()
-	inFlight := tracker.begin("i-1", placer.Request{PromptTokens: 10, UniqueTokens: 10, Engine: true}, time.Unix(1000, 0))
-	tracker.begin("i-2", placer.Request{PromptTokens: 10, UniqueTokens: 10, Engine: true}, time.Unix(1000, 0)).end()
+	shape := placer.Request{PromptTokens: 10, UniqueTokens: 10, Engine: true}
+	inFlight, _ := tracker.begin("i-1", shape, false, time.Unix(1000, 0))
+	other, _ := tracker.begin("i-2", shape, false, time.Unix(1000, 0))
+	other.end()
 	tracker.prune(map[string]bool{"i-2": true})
 	assert.Equal(t, len(tracker.targets), 2)
 	inFlight.end()
@@ -38,3 +40,29 @@
 	assert.Equal(t, len(tracker.targets), 1)
 	assert.Equal(t, tracker.runningCount(), 0)
 }
+
+// TestSuspectsRunApart checks that a suspect begins at a target only once this router's
+// other suspects there have ended, and that other requests don't wait for them.
+func TestSuspectsRunApart(t *testing.T) {
+	tracker, now := newTargetTracker(), time.Unix(1000, 0)
+	suspect := placer.Request{Suspect: true}
+	first, _ := tracker.begin("i-1", suspect, true, now)
+	refused, ended := tracker.begin("i-1", suspect, true, now)
+	assert.Assert(t, first != nil && refused == nil)
+	other, _ := tracker.begin("i-1", placer.Request{}, false, now)
+	elsewhere, _ := tracker.begin("i-2", suspect, true, now)
+	forced, _ := tracker.begin("i-1", suspect, false, now)
+	assert.Assert(t, other != nil && elsewhere != nil && forced != nil)
+	other.end()
+	select {
+	case <-ended:
+		t.Fatal("a suspect has ended, but none did")
+	default:
+	}
+	first.end()
+	<-ended
+	forced.end()
+	again, _ := tracker.begin("i-1", suspect, true, now)
+	assert.Assert(t, again != nil)
+	assert.Equal(t, tracker.ownLoads()[0].Suspects, 1)
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -188,7 +188,7 @@
 	}
 	order := slices.Concat(ranked, otherRanked)
 	if r.Suspect {
-		order = last(order, func(c Choice) bool { return targets[c.Index].Suspects > 0 })
+		slices.SortStableFunc(order, func(a, b Choice) int { return cmp.Compare(targets[a.Index].Suspects, targets[b.Index].Suspects) })
 	}
 	return ejectedLast(order, targets)
 }
@@ -300,11 +300,8 @@
 
 // ejectedLast moves ejected targets to the end.
 func ejectedLast(order []Choice, targets []Target) []Choice {
-	return last(order, func(c Choice) bool { return targets[c.Index].Ejected })
-}
-
-// last moves the choices for which match returns true to the end.
-func last(order []Choice, match func(Choice) bool) []Choice {
-	slices.SortStableFunc(order, func(a, b Choice) int { return cmp.Compare(asInt(match(a)), asInt(match(b))) })
+	slices.SortStableFunc(order, func(a, b Choice) int {
+		return cmp.Compare(asInt(targets[a.Index].Ejected), asInt(targets[b.Index].Ejected))
+	})
 	return order
 }
--- a/internal/request/placer/placer_test.go
+++ b/internal/request/placer/placer_test.go
@@ -18,13 +18,13 @@
 			targets[i] = placer.Target{
 				Hash: rapid.Uint64().Draw(t, "hash"), Slots: rapid.IntRange(0, 64).Draw(t, "slots"),
 				Running: rapid.IntRange(0, 200).Draw(t, "running"), PendingTokens: rapid.Int64Range(0, 1e6).Draw(t, "pending"),
-				Cached: rapid.Bool().Draw(t, "cached"), Ejected: rapid.Bool().Draw(t, "aside"),
+				Cached: rapid.Bool().Draw(t, "cached"), Ejected: rapid.Bool().Draw(t, "aside"), Suspects: rapid.IntRange(0, 3).Draw(t, "suspects"),
 				Slowness: rapid.Float64Range(0, 8).Draw(t, "slowness"),
 			}
 		}
 		r := placer.Request{
 			PromptTokens: rapid.Int64Range(0, 40000).Draw(t, "prompt"), UniqueTokens: rapid.Int64Range(0, 4000).Draw(t, "own"),
-			AffinityKey: rapid.Uint64().Draw(t, "affinity"), Engine: rapid.Bool().Draw(t, "engine"),
+			AffinityKey: rapid.Uint64().Draw(t, "affinity"), Engine: rapid.Bool().Draw(t, "engine"), Suspect: rapid.Bool().Draw(t, "suspect"),
 		}
 		split := placer.PoolSplit{ShortTargets: rapid.IntRange(-2, 40).Draw(t, "short")}
 		listed := make(map[int]bool)
@@ -51,3 +51,36 @@
 		previous = n
 	}
 }
+
+// TestSuspectsAreSpread replays the moment after a crash: the requests of one target are
+// sent again, all of them suspects. No target gets a second one before each has one, an
+// ejected target gets none, and a plain service's other requests go around them until
+// the targets without suspects are full.
+func TestSuspectsAreSpread(t *testing.T) {
+	const slots = 6
+	for _, engine := range []bool{false, true} {
+		targets := []placer.Target{{ID: "crashed", Hash: 1, Slots: slots, Ejected: true}}
+		for i := range uint64(4) {
+			targets = append(targets, placer.Target{Hash: i + 2, Slots: slots, Running: int(i)})
+		}
+		suspect := placer.Request{Suspect: true, Engine: engine, PromptTokens: 100, UniqueTokens: 100, AffinityKey: 7}
+		for round := 1; round <= 2; round++ {
+			for range 4 {
+				best := &targets[placer.Plan(suspect, targets, placer.PoolSplit{})[0].Index]
+				best.Suspects++
+				best.Running++
+			}
+			for _, target := range targets[1:] {
+				assert.Equal(t, target.Suspects, round)
+			}
+		}
+		assert.Equal(t, targets[0].Suspects, 0)
+	}
+	targets := []placer.Target{{Slots: slots, Suspects: 1, Running: 1}, {Slots: slots}}
+	for range slots {
+		assert.Equal(t, placer.Plan(placer.Request{}, targets, placer.PoolSplit{})[0].Index, 1)
+		targets[1].Running++
+	}
+	targets[1].Running++
+	assert.Equal(t, placer.Plan(placer.Request{}, targets, placer.PoolSplit{})[0].Index, 0, "a full target is preferred to one with a suspect")
+}
--- a/internal/request/suspecter/codec.go
+++ b/internal/request/suspecter/codec.go
@@ -12,14 +12,14 @@
 	Digest   string `json:"digest"`
 	Run      string `json:"run,omitempty"`
 	AtMillis int64  `json:"atMillis"`
-	Repeat   bool   `json:"repeat,omitempty"`
+	Isolated bool   `json:"isolated,omitempty"`
 }
 
 // Encode returns the value of a row with observations.
 func Encode(observations []Observation) []byte {
 	list := make([]wireObservation, 0, len(observations))
 	for _, o := range observations {
-		list = append(list, wireObservation{Digest: o.Digest, Run: o.Run, AtMillis: o.At.UnixMilli(), Repeat: o.Repeat})
+		list = append(list, wireObservation{Digest: o.Digest, Run: o.Run, AtMillis: o.At.UnixMilli(), Isolated: o.Isolated})
 	}
 	value, _ := json.Marshal(list) // structs of plain fields never fail
 	return value
@@ -33,7 +33,7 @@
 	}
 	observations := make([]Observation, 0, len(list))
 	for _, w := range list {
-		observations = append(observations, Observation{Digest: w.Digest, Run: w.Run, At: time.UnixMilli(w.AtMillis), Repeat: w.Repeat})
+		observations = append(observations, Observation{Digest: w.Digest, Run: w.Run, At: time.UnixMilli(w.AtMillis), Isolated: w.Isolated})
 	}
 	return observations, nil
 }
--- a/internal/request/suspecter/suspecter.go
+++ b/internal/request/suspecter/suspecter.go
@@ -65,7 +65,13 @@
 }
 
 // Suspecter stores the observations of a fleet by digest. It is safe for concurrent use.
+//
+// Exported fields are set before the first call.
 type Suspecter struct {
+	// SettleTime is how long after a crash other processes may still report what else the
+	// target was running. Zero suits targets that only one process sends requests to.
+	SettleTime time.Duration
+
 	now func() time.Time
 
 	mu       sync.Mutex // guards all below
@@ -224,7 +230,9 @@
 
 // judge returns the verdict on a request; s.mu must be held.
 func (s *Suspecter) judge(digest string) Verdict {
-	return Judge(s.crashes(digest), func(run string) bool { return s.runs[run] == 1 })
+	return Judge(s.crashes(digest), func(c Observation) bool {
+		return s.runs[c.Run] == 1 && s.now().Sub(c.At) >= s.SettleTime
+	})
 }
 
 // crashes returns the crashes of a request; s.mu must be held.
@@ -288,9 +296,12 @@
 		case r.Run == "" && !r.At.Before(o.At):
 			return
 		case r.Run == o.Run && o.Run != "":
-			if own && !r.own {
+			merged := r
+			merged.own, merged.Isolated = r.own || own, r.Isolated || o.Isolated
+			if merged != r {
 				s.sequence++
-				records[i].own, records[i].sequence = true, s.sequence
+				merged.sequence = s.sequence
+				records[i] = merged
 			}
 			return
 		}
--- a/internal/request/suspecter/suspecter_test.go
+++ b/internal/request/suspecter/suspecter_test.go
@@ -30,6 +30,10 @@
 					d, err := time.ParseDuration(args[1])
 					assert.NilError(t, err)
 					now = now.Add(d)
+				case "settle":
+					d, err := time.ParseDuration(args[1])
+					assert.NilError(t, err)
+					s.SettleTime = d
 				case "answer":
 					s.Answered(args[1])
 				case "crash":
@@ -52,8 +56,8 @@
 
 func parseCrash(args []string, at time.Time) (crash []suspecter.Observation) {
 	for _, digest := range args[1:] {
-		name, repeat := strings.CutSuffix(digest, "+")
-		crash = append(crash, suspecter.Observation{Digest: name, Run: args[0], At: at, Repeat: repeat})
+		name, isolated := strings.CutSuffix(digest, "+")
+		crash = append(crash, suspecter.Observation{Digest: name, Run: args[0], At: at, Isolated: isolated})
 	}
 	return crash
 }
@@ -69,12 +73,12 @@
 				Digest: rapid.SampledFrom(digests).Draw(rt, "digest"),
 				Run:    rapid.SampledFrom([]string{"", "t1", "t2", "t3", "t4"}).Draw(rt, "run"),
 			}
-			// Each crash has one time and one kind of report; answers have many times.
+			// Each crash has one time; answers have many.
 			o.At = now.Add(-time.Duration(len(o.Run)+int(o.Digest[0])) * time.Second)
 			if o.Run == "" {
 				o.At = now.Add(-time.Duration(rapid.IntRange(0, 200).Draw(rt, "age")) * time.Second)
 			}
-			o.Repeat = o.Run == "t2" || o.Run == "t3"
+			o.Isolated = rapid.Bool().Draw(rt, "isolated")
 			return o
 		})
 		list := rapid.SliceOfN(observation, 0, 12).Draw(rt, "observations")
--- a/internal/request/suspecter/verdict.go
+++ b/internal/request/suspecter/verdict.go
@@ -11,8 +11,9 @@
 	// crash report the same Run.
 	Run string
 	At  time.Time
-	// Repeat is set if the request was a suspect already when it was sent.
-	Repeat bool
+	// Isolated is set if the request was a suspect already when it was sent, and the
+	// process knows of no other request that the target was running.
+	Isolated bool
 }
 
 // Verdict says how a request is to be treated.
@@ -38,11 +39,11 @@
 const maxCrashes = 3
 
 // Judge returns the verdict on a request from its crashes, each with a Run of its own.
-// alone reports whether no other request is known to have been running at a crash.
+// alone reports whether no process has seen another request at a crash.
 //
 // A single crash has many suspects: everything that the target was running. A second one
 // that hits a suspect with nothing beside it has only one possible cause.
-func Judge(crashes []Observation, alone func(run string) bool) Verdict {
+func Judge(crashes []Observation, alone func(Observation) bool) Verdict {
 	switch {
 	case len(crashes) == 0:
 		return Innocent
@@ -52,7 +53,7 @@
 		return Suspect
 	}
 	for _, c := range crashes {
-		if c.Repeat && alone(c.Run) {
+		if c.Isolated && alone(c) {
 			return Poison
 		}
 	}
