Soak: requests that crash targets come again and again

The stand-in targets crash when they run a request with a certain text in its body, refuse connections while they are down, and start again with a new start time. The soak sends up to two such requests at a time, in all kinds of route, to random gateways until its end, beside all other faults; they come from a sequence of their own, so earlier seeds draw the other faults as before. New checks: POISON (sent to targets more than three times later than three seconds after the third crash) and INNOCENT (another request refused in its place); every other request now has a body of its own.

--- a/internal/trial/soaker/clients.go
+++ b/internal/trial/soaker/clients.go
@@ -35,14 +35,7 @@
 	client := &http.Client{Transport: transport}
 	for n := 0; ctx.Err() == nil; n++ {
 		req := s.newRequest(random, fmt.Sprintf("c%d-%d", number, n))
-		incarnation := gateway.incarnation()
-		start := time.Now()
-		resp := platformtest.Send(context.WithoutCancel(ctx), client, gateway.callerAddress, req)
-		ended := time.Now()
-		s.history.Add(Observation{
-			Request: req, Response: resp, Gateway: incarnation, StartedAt: start, EndedAt: ended,
-			GatewayFrozen: gateway.frozenDuring(start, ended),
-		})
+		resp := s.observe(context.WithoutCancel(ctx), client, gateway, req)
 		if resp.Err != nil || resp.Status >= 500 {
 			gateway = pick(random, gateways)
 		}
@@ -54,9 +47,22 @@
 	}
 }
 
+// observe sends a request to a gateway and adds what its client saw to the history.
+func (s *Soak) observe(ctx context.Context, client *http.Client, gateway *program, req platformtest.Request) platformtest.Response {
+	incarnation := gateway.incarnation()
+	start := time.Now()
+	resp := platformtest.Send(ctx, client, gateway.callerAddress, req)
+	ended := time.Now()
+	s.history.Add(Observation{
+		Request: req, Response: resp, Gateway: incarnation, StartedAt: start, EndedAt: ended,
+		GatewayFrozen: gateway.frozenDuring(start, ended),
+	})
+	return resp
+}
+
 // newRequest returns a random request.
 func (s *Soak) newRequest(random *rand.Rand, id string) platformtest.Request {
-	req := platformtest.Request{ID: id, Key: "alpha-key", Timeout: requestTimeout}
+	req := platformtest.Request{ID: id, Key: "alpha-key", Timeout: requestTimeout, Body: fmt.Sprintf(`{"id":%q}`, id)}
 	if random.IntN(3) == 0 {
 		req.Key = "beta-key"
 	}
--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -94,6 +94,11 @@
 	{"crash and failures", func(s *Soak, random *rand.Rand) func() { return s.crashAndFail(random) }},
 }
 
+// crashingRequests are drawn from a sequence of their own too.
+var crashingRequests = []fault{
+	{"request that crashes targets", func(s *Soak, random *rand.Rand) func() { return s.sendCrashing(random) }},
+}
+
 // failures are the ways in which a failing target responds in turn, in a random order.
 var failures = []platformtest.Behaviour{
 	{Fail: true},
@@ -216,6 +221,11 @@
 		sleep(ctx, randomDuration(random, gap))
 		s.injectSequence(ctx, &wg, end, random, laterFaults, gap)
 	})
+	wg.Go(func() {
+		random := rand.New(rand.NewPCG(s.Seed, 3))
+		sleep(ctx, randomDuration(random, maxGap))
+		s.injectSequence(ctx, &wg, end, random, crashingRequests, crashingGap)
+	})
 	s.injectSequence(ctx, &wg, end, s.random, faults, maxGap)
 }
 
--- a/internal/trial/soaker/history.go
+++ b/internal/trial/soaker/history.go
@@ -67,7 +67,7 @@
 	var found []string
 	for _, s := range e.observations {
 		for _, check := range []func(Observation, []platformtest.Run) string{
-			checkNotRun, checkRunCount, checkOwnResponse, checkStream, checkDeadline, checkRetryAfter,
+			checkNotRun, checkRunCount, checkOwnResponse, checkStream, checkDeadline, checkRetryAfter, checkInnocence,
 		} {
 			if f := check(s, runs[s.Request.ID]); f != "" {
 				found = append(found, fmt.Sprintf("%s: request %s at %s, status %d: %s", strings.ToUpper(strings.Fields(f)[0]),
@@ -77,6 +77,7 @@
 	}
 	found = append(found, e.checkSpend(b, runs)...)
 	found = append(found, e.checkVersions()...)
+	found = append(found, e.checkCrashes(runs)...)
 	return append(found, e.checkRecovery(b)...)
 }
 
@@ -194,7 +195,7 @@
 	requests, answered := 0, 0
 	outcomes := make(map[string]int)
 	for _, s := range e.observations {
-		if s.StartedAt.Before(b.RecoveryDeadline) || (s.Request.IsStream() && s.Request.Key == "alpha-key") || s.Response.Status == http.StatusUnauthorized {
+		if s.StartedAt.Before(b.RecoveryDeadline) || s.crashes() || (s.Request.IsStream() && s.Request.Key == "alpha-key") || s.Response.Status == http.StatusUnauthorized {
 			continue
 		}
 		requests++
--- a/internal/trial/soaker/program.go
+++ b/internal/trial/soaker/program.go
@@ -100,7 +100,7 @@
 	line("name", p.name)
 	line("domain", "a")
 	line("fleetAddress", p.fleetAddress)
-	line("store", p.storeProxy.address())
+	line("store", p.storeProxy.address)
 	line("secret", secret)
 	if p.kind == "gateway" {
 		line("callerAddress", p.callerAddress)
--- a/internal/trial/soaker/proxy.go
+++ b/internal/trial/soaker/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/platform/platformtest"
 )
 
 // mode is the way in which a proxy treats its connections.
@@ -36,26 +38,43 @@
 
 // proxy forwards loopback connections to one server and injects network faults.
 type proxy struct {
-	listener net.Listener
-	server   string
+	address string
+	server  string
 
-	mu    sync.Mutex // guards all below
-	mode  mode
-	conns map[net.Conn]bool
+	mu       sync.Mutex // guards all below
+	listener net.Listener
+	closed   bool
+	mode     mode
+	conns    map[net.Conn]bool
 }
 
 func newProxy(server string) (*proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	p := &proxy{address: platformtest.NewAddress(), server: server, conns: make(map[net.Conn]bool)}
+	return p, p.accept()
+}
+
+// accept lets the proxy accept connections, at first and after refuse.
+func (p *proxy) accept() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	ln, err := net.Listen("tcp", p.address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return errors.Wrap(err, "listen")
 	}
-	p := &proxy{listener: ln, server: server, conns: make(map[net.Conn]bool)}
-	go p.run()
-	return p, nil
+	p.listener = ln
+	go p.run(ln)
+	return nil
 }
 
-func (p *proxy) address() string {
-	return p.listener.Addr().String()
+// refuse ends all connections and refuses new ones, as if the server's process had ended.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	p.resetAll()
 }
 
 // setMode changes the mode of open and new connections.
@@ -87,13 +106,16 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.refuse()
 	p.setMode(modeReset)
 }
 
-func (p *proxy) run() {
+func (p *proxy) run(ln net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := ln.Accept()
 		if err != nil {
 			return // closed
 		}
--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -24,6 +24,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +59,10 @@
 	// many of them at a target that failed; Run sets both.
 	Resumed          int
 	ResumedAtFailing int
+	// CrashingRuns is the number of runs of requests that crash targets, Crashes the number
+	// of crashes; Run sets both.
+	CrashingRuns int
+	Crashes      int
 
 	random   *rand.Rand
 	store    *platformtest.Store
@@ -66,9 +71,14 @@
 	history  History
 	log      *os.File
 
-	mu              sync.Mutex // guards configuration and storeFaultCount
+	// senders send requests that crash targets until clientsCtx ends.
+	senders    sync.WaitGroup
+	clientsCtx context.Context
+
+	mu              sync.Mutex // guards the fields below
 	configuration   platformtest.Configuration
 	storeFaultCount int
+	crashingCount   int
 }
 
 const (
@@ -107,6 +117,7 @@
 	}
 	clientsCtx, stopClients := context.WithCancel(ctx)
 	defer stopClients()
+	s.clientsCtx = clientsCtx
 	var wg sync.WaitGroup
 	for i := range s.Clients {
 		wg.Go(func() { s.runClient(clientsCtx, i) })
@@ -118,8 +129,9 @@
 	sleep(ctx, s.CalmDuration)
 	stopClients()
 	wg.Wait()
+	s.senders.Wait()
 	runs := s.runs()
-	s.countResumed(runs)
+	s.count(runs)
 	findings := s.history.Check(Bounds{AlphaBudget: s.configuration.AlphaBudget, RecoveryDeadline: recoveryDeadline}, runs)
 	return append(findings, s.checkStops()...), nil
 }
@@ -142,6 +154,12 @@
 			return err
 		}
 		t := &target{standin: standin, proxy: p}
+		standin.CrashOn(crashText)
+		standin.OnCrash = func() {
+			s.logEvent("crash", standin.ID)
+			p.refuse()
+		}
+		standin.OnRestart = func() { s.restartTarget(t) }
 		s.targets = append(s.targets, t)
 		s.putEntry(t, "ready")
 	}
@@ -183,7 +201,7 @@
 
 // putEntry writes a target's entry with the address of its proxy.
 func (s *Soak) putEntry(t *target, state string) {
-	platformtest.PutTarget(s.store, t.standin.ID, t.standin.EntryAt(t.proxy.address(), state))
+	platformtest.PutTarget(s.store, t.standin.ID, t.standin.EntryAt(t.proxy.address, state))
 }
 
 func (s *Soak) stopAll() {
@@ -214,10 +232,16 @@
 	return out
 }
 
-// countResumed counts the streams that were resumed after at least one event.
-func (s *Soak) countResumed(runs map[string][]platformtest.Run) {
+// count counts the runs that show what the seed has tested.
+func (s *Soak) count(runs map[string][]platformtest.Run) {
 	for _, list := range runs {
 		for _, r := range list {
+			if strings.HasPrefix(r.Body, crashText) {
+				s.CrashingRuns++
+			}
+			if r.Crashed {
+				s.Crashes++
+			}
 			if r.LastEventID == "" {
 				continue
 			}
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -47,7 +47,8 @@
 	}
 	findings, err := s.Run(t.Context())
 	assert.NilError(t, err)
-	t.Logf("seed %d: streams were resumed %d times, %d of them at a failing target", seed, s.Resumed, s.ResumedAtFailing)
+	t.Logf("seed %d: streams were resumed %d times, %d of them at a failing target; requests that crash targets ran %d times, with %d crashes",
+		seed, s.Resumed, s.ResumedAtFailing, s.CrashingRuns, s.Crashes)
 	if len(findings) == 0 {
 		assert.NilError(t, os.RemoveAll(dir))
 	} else {
@@ -150,7 +151,7 @@
 		case "signed":
 			s.Response.Signed = true
 		case "body":
-			s.Response.Body = map[string]string{"own": "answer of " + id, "other": "answer of r99", "short": "answer", "failure": "failure of " + id, "cut": "failure"}[value]
+			s.Response.Body = map[string]string{"own": "answer of " + id, "other": "answer of r99", "short": "answer", "failure": "failure of " + id, "cut": "failure", "poison": "requests with these contents crash the targets that run them"}[value]
 		case "events":
 			s.Response.Events = parseEvents(value)
 		case "error":
@@ -161,6 +162,12 @@
 			s.Response.RetryAfter = value
 		case "runs":
 			runs[id] = make([]platformtest.Run, int(number))
+		case "crashes": // the request crashed targets, at these times
+			s.Request.Body = "crashes-targets 1"
+			for _, begun := range strings.Split(value, ",") {
+				seconds, _ := strconv.ParseFloat(begun, 64) // the cases hold numbers only
+				runs[id] = append(runs[id], platformtest.Run{StartedAt: at(seconds), Crashed: true})
+			}
 		case "frozen":
 			s.GatewayFrozen = true
 		case "begun":
