Exchanger: a target that ends a little later than its connections has crashed

The gateway dials a target that broke off in the same millisecond.

A target that stays up costs its request 10 ms more. The test has five servers: ended, ending, running, frozen, resetting; 'ends while it closes its connections' fails on the code before.

--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -21,6 +21,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/process/pauser"
 )
 
 // Errors of an exchange.
@@ -54,6 +57,10 @@
 	unackedTimeout = 2 * time.Second
 	// maxHeaderBytes bounds the header of a response.
 	maxHeaderBytes = 64 << 10
+	// probeDialTime is how long Refused waits for an answer to one dial, many round trips
+	// inside a region, and probeOpenTime how long a connection must stay open.
+	probeDialTime  = 30 * time.Millisecond
+	probeOpenTime  = 10 * time.Millisecond
 	tcpUserTimeout = 18 // from linux/tcp.h; package syscall lacks it
 )
 
@@ -163,13 +170,29 @@
 }
 
 // Refused dials an address and reports whether the connection was refused, so that nothing
-// listens there. An accepted connection is kept for the next request.
+// listens there. It dials again until ctx ends if a connection is not answered or ends at
+// once, as happens while a process ends: its sockets are not closed at the same instant. A
+// connection that stays open is kept for the next request.
 func (p *Pool) Refused(ctx context.Context, address string) bool {
-	c, err := p.dial(ctx, address)
-	if err == nil {
-		p.put(address, c, defaultIdleTimeout)
+	for ctx.Err() == nil {
+		dialCtx, cancel := context.WithTimeout(ctx, probeDialTime)
+		c, err := p.dial(dialCtx, address)
+		cancel()
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		case err == nil:
+			pauser.Pause(ctx, probeOpenTime)
+			if reusable(c.Conn) {
+				p.put(address, c, defaultIdleTimeout)
+				return false
+			}
+			_ = c.Close()
+		case !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, os.ErrDeadlineExceeded):
+			pauser.Pause(ctx, probeOpenTime)
+		}
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return false
 }
 
 // CloseIdle closes idle connections to an address.
--- a/internal/connection/exchanger/exchanger_test.go
+++ b/internal/connection/exchanger/exchanger_test.go
@@ -131,3 +131,48 @@
 	pool := &exchanger.Pool{DialTimeout: time.Second, MaxIdle: 2}
 	assert.Equal(t, exchange(pool, ln.Addr().String(), "a"), exchanger.ErrNotSent.Error())
 }
+
+// TestRefusedTellsAnEndedProcessFromABrokenConnection probes addresses whose server has
+// ended, ends a little later than its connections, or still runs.
+func TestRefusedTellsAnEndedProcessFromABrokenConnection(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// closeAfter is when the listener closes; 0 means before the probe, and a negative
+		// value never.
+		closeAfter time.Duration
+		// accepted handles accepted connections; nil leaves them in the backlog.
+		accepted func(net.Conn)
+		refused  bool
+	}{
+		{"ended", 0, nil, true},
+		{"ends while it closes its connections", 15 * time.Millisecond, func(c net.Conn) { _ = c.Close() }, true},
+		{"runs", -1, func(net.Conn) {}, false},
+		{"is frozen", -1, nil, false},
+		{"resets every connection", -1, func(c net.Conn) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer ln.Close()
+			if tt.closeAfter == 0 {
+				assert.NilError(t, ln.Close())
+			} else if tt.closeAfter > 0 {
+				time.AfterFunc(tt.closeAfter, func() { _ = ln.Close() })
+			}
+			if tt.accepted != nil {
+				go func() {
+					for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+						tt.accepted(c)
+					}
+				}()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			pool := &exchanger.Pool{DialTimeout: time.Second, MaxIdle: 1}
+			assert.Equal(t, pool.Refused(ctx, ln.Addr().String()), tt.refused)
+		})
+	}
+}
