Archiver: crashes are kept in the store by both fleets

They now take what an agent reports at the end of an attempt as their own observation, write it to a row of the table, and read all rows before the configuration.

Archiver: a write whose reply was lost is recognised, a row that went back is written again, the last observations are written at the end of a process. Line 337 is logged when a peer reports a crash that is not the first under the same contents; it was to be logged at the verdict, which time alone may change.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/connection/relayer"
+	"github.com/egretroute/egretroute/internal/process/archiver"
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/pauser"
@@ -135,9 +136,7 @@
 	crashes  suspecter.Exchange[*linker.Link]
 	// crashesKnown is set once the crashes that others have seen are loaded.
 	crashesKnown atomic.Bool
-	// crashSignal wakes storeCrashes; storedCrashes is what it has written last.
-	crashSignal   chan struct{}
-	storedCrashes atomic.Pointer[[]byte]
+	archiver     *archiver.Archiver
 }
 
 const (
@@ -172,9 +171,9 @@
 	g.suspects = suspecter.New(time.Now)
 	g.suspects.SettleTime = crashSettleTime
 	g.crashes.Suspecter, g.crashes.Scope = g.suspects, suspecter.Own
-	g.crashSignal = make(chan struct{}, 1)
 	g.peers = g.newPeerLinks()
 	g.store = &relayer.Store{Direct: g.Store, Links: g.peers.links, OnLost: g.onDirectLost, OnRestored: g.onDirectRestored}
+	g.archiver = g.newArchiver()
 	g.relayServer = &relayer.Server{Store: g.Store}
 	g.retries = &retryBudget{Limits: g.limits.Load}
 	g.metrics = newMetrics(g.Registry)
@@ -195,7 +194,7 @@
 	g.workers.Go(func() { g.followTargets(workCtx) })
 	g.workers.Go(func() { g.followMembers(workCtx) })
 	g.workers.Go(func() { g.followCrashes(workCtx) })
-	g.workers.Go(func() { g.storeCrashes(workCtx) })
+	g.workers.Go(func() { g.archiver.Run(workCtx) })
 	g.workers.Go(func() { g.pushReports(workCtx) })
 	g.workers.Go(func() { g.fetchFromPeers(workCtx) })
 	g.workers.Go(func() { g.enroll(workCtx) })
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -100,7 +100,7 @@
 		return err
 	}
 	g.applyReport(name, reply)
-	g.logPoison(name, g.crashes.Finish(link, crashes, reply.Crashes))
+	g.logCrashes(name, g.crashes.Finish(link, crashes, reply.Crashes))
 	return nil
 }
 
@@ -120,8 +120,8 @@
 	switch m := first.(type) {
 	case *framer.PeerReport:
 		g.applyReport(s.Peer.Name, m)
-		crashes, poison := g.suspects.Reply(m.Crashes, suspecter.Own)
-		g.logPoison(s.Peer.Name, poison)
+		crashes, repeated := g.suspects.Reply(m.Crashes, suspecter.Own)
+		g.logCrashes(s.Peer.Name, repeated)
 		_ = s.Write(g.report(crashes)) // on failure the peer sees the stream end
 	case *framer.FetchRowCache:
 		_ = s.Write(g.cachedRows()) // on failure the peer sees the stream end
--- a/internal/process/gateway/rowcache.go
+++ b/internal/process/gateway/rowcache.go
@@ -114,7 +114,7 @@
 		return // the seed has only just started itself
 	}
 	g.applyConfiguration(cached.Configuration)
-	g.logPoison(link.Peer.Name, g.suspects.Merge(cached.Crashes))
+	g.logCrashes(link.Peer.Name, g.suspects.Merge(cached.Crashes))
 	g.crashesKnown.Store(true)
 	if !g.targets.Synced() {
 		var entries []registrar.Entry
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -78,7 +78,7 @@
 	StreamResumed             = Event{334, slog.LevelInfo, "stream resumes at another target", "none"}
 	TargetCrashedUnderRequest = Event{335, slog.LevelWarn, "target crashed while it ran a request", "check the target; verdict says what the request is suspected of"}
 	PoisonRefused             = Event{336, slog.LevelWarn, "request refused: its contents crash the targets that run it", "explain its digest; tell the organisation"}
-	PoisonLearned             = Event{337, slog.LevelWarn, "another router has seen that requests with these contents crash targets", "explain the digest"}
+	CrashesLearned            = Event{337, slog.LevelWarn, "another router has seen requests with these contents crash several targets", "explain the digest"}
 	SuspicionCleared          = Event{338, slog.LevelInfo, "target answered a request that was suspected of a crash", "none"}
 	RequestEnded              = Event{340, slog.LevelInfo, "request answered", "none"}
 	RequestNotAnswered        = Event{341, slog.LevelWarn, "request not answered", "see docs/OPERATIONS.md"}
@@ -106,6 +106,6 @@
 	GatewayStarted, GatewayDraining, GatewayStopped, MetricsServerFailed, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedRecovered, FeedReset,
 	ConfigurationApplied, ConfigurationUnreadable, TargetsListed, TargetUpdated, TargetRemoved, TargetUnreadable, StoreDirectPathLost, StoreDirectPathRestored, MemberUnreadable,
 	RowsFetchedFromPeer,
-	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, PoisonLearned, SuspicionCleared, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
+	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable,
 }
--- a/internal/process/router/attempt.go
+++ b/internal/process/router/attempt.go
@@ -105,7 +105,11 @@
 // request from the attempt's End.
 func (r *Router) recordOutcome(c *chooser.Candidate, creq *clientRequest, end *framer.End) {
 	c.Report(end.Load.Running+end.Load.Queued, end.Load.Draining, time.Now())
-	r.suspects.Merge(end.Crashes)
+	if len(end.Crashes) > 0 {
+		// The agent may end before it has told others, and so may this router.
+		r.suspects.Adopt(end.Crashes)
+		r.archiver.Signal()
+	}
 	switch end.Reason {
 	case agent.ReasonCrashed:
 		c.RecordFailure(time.Now())
--- a/internal/process/router/responses_test.go
+++ b/internal/process/router/responses_test.go
@@ -20,9 +20,11 @@
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
+	"github.com/egretroute/egretroute/internal/process/agent"
 	"github.com/egretroute/egretroute/internal/process/router"
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 	"github.com/egretroute/egretroute/internal/version/declarer"
 	"github.com/egretroute/egretroute/internal/version/patcher"
 )
@@ -96,6 +98,12 @@
 		case "end-failed":
 			end.Outcome = framer.OutcomeFailedAfterStart
 			_ = s.Write(end)
+		case "end-crashed":
+			end.Outcome, end.Reason = framer.OutcomeFailedAfterStart, agent.ReasonPoison
+			for i := range 3 {
+				end.Crashes = append(end.Crashes, suspecter.Observation{Digest: run.Digest, Run: fmt.Sprint("engine/", i), At: time.Now()})
+			}
+			_ = s.Write(end)
 		case "not-run":
 			end.Outcome = framer.OutcomeNotRun
 			_ = s.Write(end)
@@ -159,6 +167,14 @@
 // startRouter runs a router with two targets behind one scripted agent and returns
 // the URL of the clients' API.
 func startRouter(t *testing.T, agent *scriptedAgent) string {
+	url, stop := startRouterOn(t, startAgent(t, agent))
+	t.Cleanup(stop)
+	return url
+}
+
+// startAgent runs an agent and returns a table whose configuration has two targets
+// behind it.
+func startAgent(t *testing.T, agent *scriptedAgent) storer.Table {
 	agents := listenLoopback(t)
 	srv := &linker.Server{
 		Secret: []byte(testSecret), Self: linker.Identity{Name: "engine", Incarnation: "engine@1"}, Handler: agent,
@@ -175,6 +191,11 @@
 		},
 	}, "first")
 	assert.NilError(t, err)
+	return table
+}
+
+// startRouterOn runs a router over a table until stop is called.
+func startRouterOn(t *testing.T, table storer.Table) (url string, stop func()) {
 	r := &router.Router{
 		Name: "router", Domain: "d", Secret: []byte(testSecret), Table: table,
 		Policy: spender.NewProportional(0, spender.DefaultTrendFactor), FlushInterval: 20 * time.Millisecond,
@@ -184,14 +205,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- r.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-done)
-	})
 	for !r.Ready(2) {
 		time.Sleep(5 * time.Millisecond)
 	}
-	return "http://" + r.ClientListener.Addr().String()
+	return "http://" + r.ClientListener.Addr().String(), func() {
+		cancel()
+		assert.NilError(t, <-done)
+	}
 }
 
 // TestResponsesAreCompleteAndFromOneAttempt guards against responses that mix frames
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -19,6 +19,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 
 	"github.com/egretroute/egretroute/internal/connection/connector"
 	"github.com/egretroute/egretroute/internal/connection/linker"
+	"github.com/egretroute/egretroute/internal/process/archiver"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/recoverer"
 	"github.com/egretroute/egretroute/internal/process/reporter"
@@ -94,6 +96,7 @@
 	suspects *suspecter.Suspecter
 	// crashes exchanges observations with agents and other routers.
 	crashes      suspecter.Exchange[*linker.Link]
+	archiver     *archiver.Archiver
 	agents       *connector.Connector
 	peers        *connector.Connector
 	chooser      chooser.Chooser
@@ -120,6 +123,8 @@
 	r.build()
 	r.built.Store(true)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var archiving sync.WaitGroup
+	defer archiving.Wait()
 	defer stop()
 	operatorServer := &http.Server{Handler: r.operatorAPI(), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = operatorServer.Serve(r.OperatorListener) }()
@@ -129,6 +134,7 @@
 	r.peers.SetMembers(background, r.Peers)
 	logger.RouterStarted.Log(r.Log, "router", r.Name, "fleetAddress", r.FleetAddress)
 	go r.followLoop(background)
+	archiving.Go(func() { r.archiver.Run(background) })
 	go r.recovery.Run(background)
 	go r.auditor.run(background)
 	r.slotOwners.onRead = func(rows []claimer.SlotRow, readAt time.Time) {
@@ -153,6 +159,7 @@
 	r.chooser = chooser.NewPrefixAffinity()
 	r.suspects = suspecter.New(time.Now)
 	r.crashes.Suspecter = r.suspects
+	r.archiver = r.newArchiver()
 	r.patcher = &patcher.Patcher{Table: r.Table}
 	r.follower = &follower.Follower{OnChange: r.applyFleet}
 	r.auditor = &auditor{router: r}
@@ -183,11 +190,14 @@
 	return linker.Identity{Name: r.Name}
 }
 
-// followLoop polls the platform for new versions of the configuration.
+// followLoop reads the crashes seen before this start and then polls the platform for new
+// versions of the configuration.
 func (r *Router) followLoop(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
+	crashesKnown := false
 	for {
+		crashesKnown = crashesKnown || r.readCrashes(ctx)
 		_ = r.follower.Poll(ctx, r.Table)
 		select {
 		case <-ctx.Done():
--- a/internal/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -159,3 +159,38 @@
 		after = page[len(page)-1].Key
 	}
 }
+
+// ReceiptTable is a Committer over a Table that gives no receipts: it reads the rows again.
+// Receipts have no Clock.
+type ReceiptTable struct {
+	Table
+}
+
+// CommitWithReceipt implements Committer. If the rows can't be read after the commit, it
+// returns the error of that read, although the commit may have taken effect.
+func (t ReceiptTable) CommitWithReceipt(ctx context.Context, c Commit) (Receipt, error) {
+	err := t.Commit(ctx, c)
+	if err != nil && !errors.Is(err, ErrConflict) {
+		return Receipt{}, err
+	}
+	keys := make([]string, 0, len(c.Conditions))
+	for _, condition := range c.Conditions {
+		keys = append(keys, condition.Key)
+	}
+	rows, readErr := t.Read(ctx, keys...)
+	if readErr != nil {
+		return Receipt{}, readErr
+	}
+	var receipt Receipt
+	conflict := &ConflictError{}
+	for _, row := range rows {
+		if row.Version > 0 {
+			conflict.Rows = append(conflict.Rows, row)
+			receipt.Version = max(receipt.Version, row.Version)
+		}
+	}
+	if err != nil {
+		return Receipt{}, conflict
+	}
+	return receipt, nil
+}
--- a/internal/request/suspecter/exchange.go
+++ b/internal/request/suspecter/exchange.go
@@ -39,10 +39,10 @@
 	return Message{Observations: batch, Cursor: cursor, Confirmed: p.received}
 }
 
-// Finish applies the reply to a heartbeat that carried request and returns the digests
-// that have become poison.
-func (e *Exchange[K]) Finish(link K, request, reply Message) (poison []string) {
-	poison = e.Suspecter.Merge(reply.Observations)
+// Finish applies the reply to a heartbeat that carried request and returns what Merge
+// returns.
+func (e *Exchange[K]) Finish(link K, request, reply Message) (repeated []string) {
+	repeated = e.Suspecter.Merge(reply.Observations)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.links == nil {
@@ -50,7 +50,7 @@
 	}
 	p := e.links[link]
 	e.links[link] = linkProgress{sent: max(p.sent, request.Cursor), received: max(p.received, reply.Cursor)}
-	return poison
+	return repeated
 }
 
 // Drop forgets a link that is down.
@@ -60,10 +60,10 @@
 	delete(e.links, link)
 }
 
-// Reply applies the message of a peer's heartbeat and returns the one to reply with.
-// poison holds the digests that have become poison.
-func (s *Suspecter) Reply(m Message, scope Scope) (reply Message, poison []string) {
-	poison = s.Merge(m.Observations)
+// Reply applies the message of a peer's heartbeat and returns the one to reply with, and
+// what Merge returns.
+func (s *Suspecter) Reply(m Message, scope Scope) (reply Message, repeated []string) {
+	repeated = s.Merge(m.Observations)
 	reply.Observations, reply.Cursor = s.Since(m.Confirmed, scope)
-	return reply, poison
+	return reply, repeated
 }
--- a/internal/request/suspecter/suspecter.go
+++ b/internal/request/suspecter/suspecter.go
@@ -151,25 +151,27 @@
 	return true
 }
 
-// Merge adds the observations of a peer and returns the digests that have become poison.
-func (s *Suspecter) Merge(observations []Observation) (poison []string) {
+// Merge adds the observations of a peer. It returns the digests of which it has learned a
+// crash that is not the first.
+func (s *Suspecter) Merge(observations []Observation) (repeated []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range observations {
 		if o.Digest == "" || len(o.Digest) > maxNameBytes || len(o.Run) > maxNameBytes {
 			continue // not written by this program
 		}
-		before := s.judge(o.Digest)
+		before := len(s.crashes(o.Digest))
 		s.add(o, false)
-		if before != Poison && s.judge(o.Digest) == Poison {
-			poison = append(poison, o.Digest)
+		if after := len(s.crashes(o.Digest)); after > max(before, 1) {
+			repeated = append(repeated, o.Digest)
 		}
 	}
-	return poison
+	return repeated
 }
 
-// Restore adds observations of an earlier process of this host as this one's own.
-func (s *Suspecter) Restore(observations []Observation) {
+// Adopt adds observations that others have made as this process's own, such as those of an
+// earlier process of this host.
+func (s *Suspecter) Adopt(observations []Observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range observations {
