explain prints the crashes under requests with the same contents

A refusal for earlier crashes (line 336) names runs and times, but the requests and routers that saw them are in lines of other requests. explain now adds the lines 105, 335, 337 and 338 with the digest of the request.

--- a/cmd/egretroute/explain.go
+++ b/cmd/egretroute/explain.go
@@ -10,15 +10,19 @@
 	"os"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/google/subcommands"
+
+	"github.com/egretroute/egretroute/internal/process/logger"
 )
 
 // maxLogLine is the maximum length of a log line in bytes.
 const maxLogLine = 1 << 20
 
-// explainCommand prints all log lines of one request.
+// explainCommand prints all log lines of one request, and those that tell which targets
+// requests with the same contents have crashed.
 type explainCommand struct{}
 
 // Name implements subcommands.Command.
@@ -26,7 +30,7 @@
 
 // Synopsis implements subcommands.Command.
 func (*explainCommand) Synopsis() string {
-	return "print a request's log lines from the logs of all processes"
+	return "print a request's log lines from the logs of all processes, and the crashes under requests with its contents"
 }
 
 // Usage implements subcommands.Command.
@@ -41,20 +45,18 @@
 		fmt.Fprintln(os.Stderr, "explain: missing request ID")
 		return subcommands.ExitUsageError
 	}
-	var found []logLine
+	var found logLines
 	for _, path := range f.Args()[1:] {
-		lines, err := readLog(path, f.Arg(0))
-		if err != nil {
+		if err := found.read(path, f.Arg(0)); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return subcommands.ExitFailure
 		}
-		found = append(found, lines...)
 	}
 	if f.NArg() == 1 {
-		found = findLines(os.Stdin, f.Arg(0))
+		found.add(os.Stdin, f.Arg(0))
 	}
-	printLines(os.Stdout, found)
-	if len(found) == 0 {
+	printLines(os.Stdout, f.Arg(0), found.related())
+	if len(found.own) == 0 {
 		fmt.Fprintf(os.Stderr, "explain: no log line for request %q; under load, lines of successful requests are dropped first (event 100)\n", f.Arg(0))
 		return subcommands.ExitFailure
 	}
@@ -67,23 +69,55 @@
 	prefix string // text before the line's JSON object, such as a host name
 }
 
-func readLog(path, id string) ([]logLine, error) {
+// logLines are the lines of one request, and the lines about crashes under any request.
+type logLines struct {
+	own     []logLine
+	crashes []logLine
+}
+
+// crashEvents are the events that tell what requests with the same digest have done to
+// targets.
+var crashEvents = []logger.Event{logger.TargetCrashed, logger.TargetCrashedUnderRequest, logger.CrashesLearned, logger.SuspicionCleared}
+
+// isCrashEvent reports whether a log line's JSON object is of one of the crashEvents.
+func isCrashEvent(object string) bool {
+	return slices.ContainsFunc(crashEvents, func(e logger.Event) bool {
+		return strings.Contains(object, `"event":`+strconv.Itoa(e.Number)+`,`)
+	})
+}
+
+// related returns the request's own lines and those about crashes under requests with
+// the same digest.
+func (l *logLines) related() []logLine {
+	lines := slices.Clone(l.own)
+	for _, crash := range l.crashes {
+		if slices.ContainsFunc(l.own, func(own logLine) bool { return own.fields["digest"] == crash.fields["digest"] }) {
+			lines = append(lines, crash)
+		}
+	}
+	return lines
+}
+
+// read adds the lines of a file.
+func (l *logLines) read(path, id string) error {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer file.Close()
-	return findLines(file, id), nil
+	l.add(file, id)
+	return nil
 }
 
-// findLines returns the log lines whose request attribute is id or whose voucher ends
-// in it.
-func findLines(r io.Reader, id string) (found []logLine) {
+// add adds the log lines whose request attribute is id or whose voucher ends in it, and
+// those about crashes.
+func (l *logLines) add(r io.Reader, id string) {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLogLine)
 	for lines.Scan() {
 		before, object, ok := strings.Cut(lines.Text(), "{")
-		if !ok || !strings.Contains(object, id) {
+		aboutCrash := ok && isCrashEvent(object)
+		if !ok || (!aboutCrash && !strings.Contains(object, id)) {
 			continue
 		}
 		var fields map[string]any
@@ -92,21 +126,27 @@
 		if d.Decode(&fields) != nil {
 			continue // not a log line of this program
 		}
+		line := logLine{fields: fields, prefix: strings.TrimSpace(before)}
 		voucher, _ := fields["voucher"].(string)
-		if fields["request"] == id || strings.HasSuffix(voucher, "/"+id) {
-			found = append(found, logLine{fields: fields, prefix: strings.TrimSpace(before)})
+		switch {
+		case fields["request"] == id || strings.HasSuffix(voucher, "/"+id):
+			l.own = append(l.own, line)
+		case aboutCrash:
+			l.crashes = append(l.crashes, line)
 		}
 	}
-	return found
 }
 
-// printLines prints lines in chronological order.
-func printLines(w io.Writer, lines []logLine) {
+// printLines prints lines in chronological order, with the request unless it is id.
+func printLines(w io.Writer, id string, lines []logLine) {
 	sort.SliceStable(lines, func(i, j int) bool {
 		return fmt.Sprint(lines[i].fields["time"]) < fmt.Sprint(lines[j].fields["time"])
 	})
 	for _, line := range lines {
 		var rest []string
+		if request, ok := line.fields["request"]; ok && request != id {
+			rest = append(rest, fmt.Sprintf("request=%v", request))
+		}
 		for _, key := range sortedKeys(line.fields) {
 			rest = append(rest, fmt.Sprintf("%s=%v", key, line.fields[key]))
 		}
