--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -61,6 +61,7 @@
 	// inside a region, and probeOpenTime how long a connection must stay open.
 	probeDialTime  = 30 * time.Millisecond
 	probeOpenTime  = 10 * time.Millisecond
+	maxProbeDials  = 3
 	tcpUserTimeout = 18 // from linux/tcp.h; package syscall lacks it
 )
 
@@ -170,11 +171,11 @@
 }
 
 // Refused dials an address and reports whether the connection was refused, so that nothing
-// listens there. It dials again until ctx ends if a connection is not answered or ends at
-// once, as happens while a process ends: its sockets are not closed at the same instant. A
-// connection that stays open is kept for the next request.
+// listens there. It dials up to maxProbeDials times if a connection is not answered or ends
+// at once, as happens while a process ends: its sockets are not closed at the same
+// instant. A connection that stays open is kept for the next request.
 func (p *Pool) Refused(ctx context.Context, address string) bool {
-	for ctx.Err() == nil {
+	for range maxProbeDials {
 		dialCtx, cancel := context.WithTimeout(ctx, probeDialTime)
 		c, err := p.dial(dialCtx, address)
 		cancel()
--- a/internal/connection/exchanger/exchanger_test.go
+++ b/internal/connection/exchanger/exchanger_test.go
@@ -169,10 +169,12 @@
 					}
 				}()
 			}
-			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
+			startedAt := time.Now()
 			pool := &exchanger.Pool{DialTimeout: time.Second, MaxIdle: 1}
 			assert.Equal(t, pool.Refused(ctx, ln.Addr().String()), tt.refused)
+			assert.Assert(t, time.Since(startedAt) < 150*time.Millisecond)
 		})
 	}
 }
--- a/internal/process/archiver/archiver.go
+++ b/internal/process/archiver/archiver.go
@@ -26,7 +26,7 @@
 
 const (
 	// maxObservations bounds the observations in a row.
-	maxObservations = 64
+	maxObservations = 32
 	// commitDelay collects the requests of one crash in one commit, retryDelay is the
 	// pause after a failed one.
 	commitDelay = 10 * time.Millisecond
