Gateway: a request crashes its target although its client has left

Found by reading: an attempt that ends since its client left, or since its deadline has passed, is closed by the router itself, so a crash that follows was never seen, and such a request could come again for ever. Case 18 of TestRequestCrashesTargetAfterTarget fails on the code before: nothing was recorded for three crashes, the fourth arrival was sent.

--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -27,6 +27,9 @@
 	// probeTimeout bounds the dials that tell a crash from a broken connection. A refusal,
 	// the only answer that counts, usually takes one round trip.
 	probeTimeout = 100 * time.Millisecond
+	// abandonedCheckDelay is how long after its cancelation a request may crash its target:
+	// about as long as a plain service runs a request.
+	abandonedCheckDelay = 100 * time.Millisecond
 	// maxCrashesPerRequest is how many targets one request may crash, whether it or one
 	// that ran beside it is to blame.
 	maxCrashesPerRequest = 2
@@ -51,16 +54,36 @@
 	return g.pool.Refused(ctx, target.Address)
 }
 
-// recordCrash records that a target crashed while it ran a request.
-func (g *Gateway) recordCrash(q *request, target registrar.Entry) {
+// recordCrashUnder records that a target crashed while it ran a request.
+func (g *Gateway) recordCrashUnder(q *request, target registrar.Entry) {
 	q.crashes++
-	run := runOf(target)
-	verdict := g.suspects.Observe(suspecter.Observation{
-		Digest: q.digest, Run: run, At: time.Now(), Isolated: q.verdict == suspecter.Suspect && g.tracker.runningAt(target.ID) == 1,
+	g.recordCrash(q.ID, target, suspecter.Observation{
+		Digest: q.digest, Run: runOf(target), At: time.Now(), Isolated: q.verdict == suspecter.Suspect && g.tracker.runningAt(target.ID) == 1,
 	})
-	g.metrics.crashes.WithLabelValues(verdict.String()).Inc()
-	logger.TargetCrashedUnderRequest.Log(g.Log, "request", q.ID, "digest", q.digest, "target", target.ID, "run", run,
-		"verdict", verdict.String(), "crashes", describeCrashes(g.suspects.Crashes(q.digest)))
+}
+
+// recordAbandoned records that a request was canceled while a target ran it, and checks
+// shortly after whether the target has crashed all the same.
+func (g *Gateway) recordAbandoned(q *request, target registrar.Entry) {
+	if !g.tracker.recordAbandoned(target.ID, abandonedRequest{id: q.ID, digest: q.digest, run: runOf(target)}) {
+		return // the check is pending
+	}
+	time.AfterFunc(abandonedCheckDelay, func() {
+		crashed := g.hasCrashed(context.Background(), target)
+		for _, r := range g.tracker.takeAbandoned(target.ID) {
+			if crashed && r.run == runOf(target) {
+				g.recordCrash(r.id, target, suspecter.Observation{Digest: r.digest, Run: r.run, At: time.Now()})
+			}
+		}
+	})
+}
+
+// recordCrash records that a target crashed while it ran a request.
+func (g *Gateway) recordCrash(id string, target registrar.Entry, crash suspecter.Observation) {
+	verdict := g.suspects.Observe(crash).String()
+	g.metrics.crashes.WithLabelValues(verdict).Inc()
+	logger.TargetCrashedUnderRequest.Log(g.Log, "request", id, "digest", crash.Digest, "target", target.ID, "run", crash.Run,
+		"verdict", verdict, "crashes", describeCrashes(g.suspects.Crashes(crash.Digest)))
 	g.signalCrash()
 }
 
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -234,13 +234,16 @@
 // its result. It ejects the target unless the client has disconnected.
 func (g *Gateway) recordFailedAttempt(ctx context.Context, q *request, target registrar.Entry, err error, result attemptResult) attemptResult {
 	g.metrics.attempts.WithLabelValues("error").Inc()
+	if ctx.Err() != nil && result == resultFailed {
+		g.recordAbandoned(q, target)
+	}
 	if ctx.Err() != nil && q.http.Context().Err() != nil {
 		return result
 	}
 	ejection := g.tracker.recordLoss(target.ID, time.Now())
 	g.pool.CloseIdle(target.Address)
 	if result == resultFailed && ctx.Err() == nil && g.hasCrashed(ctx, target) {
-		g.recordCrash(q, target)
+		g.recordCrashUnder(q, target)
 	}
 	logger.AttemptFailed.Log(g.Log, "request", q.ID, "digest", q.digest, "target", target.ID, "revision", target.Revision,
 		"sent", result != resultUnsent, "beside", g.tracker.runningAt(target.ID)-1, "aside", ejection, "error", err)
