--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -95,7 +95,8 @@
 	}
 }
 
-// refuseIfPoison refuses a request that is known to crash targets.
+// refuseIfPoison refuses a request that is known to crash targets, or that has crashed as
+// many as one request may. Otherwise it sets the request's verdict and returns nil.
 func (g *Gateway) refuseIfPoison(q *request) *refusal {
 	q.verdict = g.suspects.Verdict(q.digest)
 	switch {
--- a/internal/request/suspecter/suspecter.go
+++ b/internal/request/suspecter/suspecter.go
@@ -202,9 +202,15 @@
 	defer s.mu.Unlock()
 	selected := s.selected(func(r record) bool { return scope == All || r.own })
 	slices.Reverse(selected)
-	slices.SortStableFunc(selected, func(a, b record) int {
-		return cmp.Compare(s.judge(b.Digest)/Poison, s.judge(a.Digest)/Poison)
-	})
+	var poison, others []record
+	for _, r := range selected {
+		if s.judge(r.Digest) == Poison {
+			poison = append(poison, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	selected = slices.Concat(poison, others)
 	return observations(selected[:min(n, len(selected))])
 }
 
@@ -325,17 +331,24 @@
 // poison ones only if there are no others; s.mu must be held.
 func (s *Suspecter) evict() {
 	type candidate struct {
-		digest  string
-		verdict Verdict
-		at      time.Time
+		digest string
+		poison bool
+		at     time.Time
 	}
 	var candidates []candidate
 	for digest, records := range s.records {
 		newest := slices.MaxFunc(records, func(a, b record) int { return a.At.Compare(b.At) })
-		candidates = append(candidates, candidate{digest: digest, verdict: s.judge(digest) / Poison, at: newest.At})
+		candidates = append(candidates, candidate{digest: digest, poison: s.judge(digest) == Poison, at: newest.At})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.verdict, b.verdict), a.at.Compare(b.at))
+		switch {
+		case a.poison == b.poison:
+			return a.at.Compare(b.at)
+		case a.poison:
+			return 1
+		default:
+			return -1
+		}
 	})
 	for _, c := range candidates[:len(candidates)/8+1] {
 		s.keep(c.digest, s.records[c.digest], func(record) bool { return false })
