Suspecter: each start of a target has a name of its own, also while its entry is stale

Cause: a crash was named by the entry of its target. While the store is silent the entry is that of the first start, so all crashes of a target counted as one (with two targets never as three), and when other contents crashed the target under the same name, an earlier crash no longer counted as alone: poison fell back to suspect.

Class: what identifies an event is taken from a copy of somebody else's state that may be stale.

Change: the name is the entry's with the number of crashes known under it when the request is sent. Requests in flight at one crash were sent before it was known and share its name.

--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -35,7 +35,7 @@
 	maxCrashesPerRequest = 2
 )
 
-// runOf identifies one start of a target.
+// runOf identifies one start of a target as far as the list of targets tells them apart.
 func runOf(target registrar.Entry) string {
 	if target.StartedAt.IsZero() {
 		return target.ID
@@ -58,20 +58,21 @@
 func (g *Gateway) recordCrashUnder(q *request, target registrar.Entry) {
 	q.crashes++
 	g.recordCrash(q.ID, target, suspecter.Observation{
-		Digest: q.digest, Run: runOf(target), At: time.Now(), Isolated: q.verdict == suspecter.Suspect && g.tracker.runningAt(target.ID) == 1,
+		Digest: q.digest, Run: q.start, At: time.Now(), Isolated: q.verdict == suspecter.Suspect && g.tracker.runningAt(target.ID) == 1,
 	})
 }
 
 // recordAbandoned records that a request was canceled while a target ran it, and checks
 // shortly after whether the target has crashed all the same.
 func (g *Gateway) recordAbandoned(q *request, target registrar.Entry) {
-	if !g.tracker.recordAbandoned(target.ID, abandonedRequest{id: q.ID, digest: q.digest, run: runOf(target)}) {
+	start := q.start
+	if !g.tracker.recordAbandoned(target.ID, abandonedRequest{id: q.ID, digest: q.digest, run: start}) {
 		return // the check is pending
 	}
 	time.AfterFunc(abandonedCheckDelay, func() {
 		crashed := g.hasCrashed(context.Background(), target)
 		for _, r := range g.tracker.takeAbandoned(target.ID) {
-			if crashed && r.run == runOf(target) {
+			if crashed && r.run == start {
 				g.recordCrash(r.id, target, suspecter.Observation{Digest: r.digest, Run: r.run, At: time.Now()})
 			}
 		}
--- a/internal/request/suspecter/suspecter.go
+++ b/internal/request/suspecter/suspecter.go
@@ -14,7 +14,8 @@
 //	if s.Verdict(digest) == suspecter.Poison {
 //		// Refuse the request.
 //	}
-//	s.Observe(suspecter.Observation{Digest: digest, Run: "engine-1@17", At: time.Now()})
+//	run := s.Start("engine-1@17") // before the request is sent
+//	s.Observe(suspecter.Observation{Digest: digest, Run: run, At: time.Now()})
 //	s.Answered(digest) // after a complete response
 //
 //	batch, cursor := s.Since(cursor, suspecter.All) // send to a peer
@@ -28,6 +29,7 @@
 	"cmp"
 	"encoding/hex"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -98,6 +100,19 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
+// Start returns a name for the current start of a target, for the Run of an observation: the
+// first one under which no crash is known. The list that target is from may be stale and
+// give several starts of a target the same name.
+func (s *Suspecter) Start(target string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run := target
+	for n := 1; s.runs[run] > 0; n++ {
+		run = target + "/" + strconv.Itoa(n)
+	}
+	return run
+}
+
 // Verdict returns the verdict on a request.
 func (s *Suspecter) Verdict(digest string) Verdict {
 	s.mu.Lock()
--- a/internal/request/suspecter/suspecter_test.go
+++ b/internal/request/suspecter/suspecter_test.go
@@ -34,6 +34,8 @@
 					d, err := time.ParseDuration(args[1])
 					assert.NilError(t, err)
 					s.SettleTime = d
+				case "start":
+					assert.Equal(t, s.Start(args[1]), args[2])
 				case "answer":
 					s.Answered(args[1])
 				case "crash":
