Gateway: refuses requests until it knows which contents crash targets

Cause: a gateway is ready only when it knows the crashes, but clients and the platform's load balancer send requests before that (it uses all nodes of a zone when few are in rotation), and these were admitted as soon as a configuration was known.

Class: a decision is made before what it depends on has been read.

Change: until the crashes are known, requests are refused as they are without a configuration: 503, not run, come back in half a second. Both come from the store or from the same peer, so this lasts as long as the later of two answers.

--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -36,7 +36,7 @@
 	// budgetRetryAfter is when tokens held by other routers may have been returned:
 	// after two settlement intervals.
 	budgetRetryAfter = 2 * settlementInterval
-	// startRetryAfter is when a router that has just started may have a configuration.
+	// startRetryAfter is when a router that has just started may have read the store.
 	startRetryAfter = 500 * time.Millisecond
 	// defaultMaxBodyBytes bounds a request body if the configuration states no limit.
 	defaultMaxBodyBytes = 4 << 20
@@ -162,6 +162,9 @@
 	if m == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration known", retryAfter: startRetryAfter}
 	}
+	if !g.crashesKnown.Load() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "requests that crash targets not known yet", retryAfter: startRetryAfter}
+	}
 	q.matcher = m
 	var err error
 	if q.RequestMetadata, err = g.HeaderCodec.DecodeRequest(q.http.Header); err != nil {
