Router: reads the crashes before the first configuration, also when the first read fails

By reading, after the gateway's fault (the same cause in the product's fleet): the router read the crashes before it polled the configuration, but went on if that read failed.

Change: without the crashes the configuration is not polled, and without a configuration nothing is served.

Before: TestRestartedFleetForgetsCrashes/crashes_read_late fails (200 instead of 422); after: passes. Left: a router that gets the configuration from a peer while the table is down may serve before that peer has told it all crashes; the agents refuse then.

--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -190,7 +190,7 @@
 	return linker.Identity{Name: r.Name}
 }
 
-// followLoop reads the crashes seen before this start and then polls the platform for new
+// followLoop reads the crashes seen before this start, and only then polls the platform for new
 // versions of the configuration.
 func (r *Router) followLoop(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
@@ -198,7 +198,9 @@
 	crashesKnown := false
 	for {
 		crashesKnown = crashesKnown || r.readCrashes(ctx)
-		_ = r.follower.Poll(ctx, r.Table)
+		if crashesKnown { // without a configuration nothing is served
+			_ = r.follower.Poll(ctx, r.Table)
+		}
 		select {
 		case <-ctx.Done():
 			return
