Suspecter: the later of two crashes under one name counts

By reading, beside the names of starts: after an answer has cleared a crash, its name may stand for a later one. If the answer arrived last, it cleared both. Now the later time is kept. Peers hear of it from the router that has seen it, so the change is not passed on.

--- a/internal/request/suspecter/suspecter.go
+++ b/internal/request/suspecter/suspecter.go
@@ -321,11 +321,14 @@
 		case r.Run == o.Run && o.Run != "":
 			merged := r
 			merged.own, merged.Isolated = r.own || own, r.Isolated || o.Isolated
-			if merged != r {
+			if o.At.After(r.At) { // the name of a start may be used again after an answer
+				merged.At = o.At
+			}
+			if merged != r && (own || merged.Isolated != r.Isolated) { // peers hear of a later time from its observer
 				s.sequence++
 				merged.sequence = s.sequence
-				records[i] = merged
 			}
+			records[i] = merged
 			return
 		}
 	}
--- a/internal/request/suspecter/suspecter_test.go
+++ b/internal/request/suspecter/suspecter_test.go
@@ -44,6 +44,10 @@
 					}
 				case "peer":
 					s.Merge(parseCrash(args[1:], now))
+				case "answered":
+					age, err := time.ParseDuration(args[2])
+					assert.NilError(t, err)
+					s.Merge([]suspecter.Observation{{Digest: args[1], At: now.Add(-age)}})
 				case "late":
 					s.Merge(parseCrash(args[1:], now.Add(-30*time.Minute)))
 				default:
