Agent: takes the name of a target's start from the Suspecter

The agent counted the starts of its target itself. Suspecter.Start now does the same for both fleets, so there is one copy of the rule.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -61,9 +61,6 @@
 	// unknown.
 	unknownSince sync.Map
 	targetDown   atomic.Bool // the target crashed during a run and has not responded to a probe since
-	// targetStarts counts the crashes of the target: requests that began between the same
-	// two crashes ran at the same start of it.
-	targetStarts atomic.Uint64
 }
 
 // Run serves routers until ctx ends and then drains: it refuses new requests, waits for
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -186,7 +185,7 @@
 
 // execute runs the request at the target and records its bill.
 func (a *Agent) execute(ctx context.Context, w *responseWriter, run *framer.Run) *framer.End {
-	suspect, start := a.isSuspect(run), a.targetStarts.Load()
+	suspect, start := a.isSuspect(run), a.Suspects.Start(a.Incarnation)
 	usage, err := a.Backend.Execute(ctx, run, w)
 	unsettled := errors.Is(err, ErrUnsettled)
 	crashed := errors.Is(err, ErrCrashed) || (unsettled && ctx.Err() == nil)
@@ -199,11 +198,9 @@
 		return notRun(ReasonFailed)
 	case crashed:
 		a.targetDown.Store(true)
-		// The next request runs at another start of the target.
-		a.targetStarts.CompareAndSwap(start, start+1)
 		running, _, _, _ := a.Queue.Stats()
 		verdict := a.Suspects.Observe(suspecter.Observation{
-			Digest: run.Digest, Run: fmt.Sprintf("%s/%d", a.Incarnation, start), At: time.Now(), Isolated: suspect && running == 1,
+			Digest: run.Digest, Run: start, At: time.Now(), Isolated: suspect && running == 1,
 		})
 		end.Outcome, end.Reason, end.Crashes = framer.OutcomeFailedAfterStart, ReasonCrashed, a.Suspects.Crashes(run.Digest)
 		if verdict == suspecter.Poison {
