Flusher: a conflict does not end a review

Operators saw: all tokens that a router held stayed held after it had stopped without an error, and nobody could return them, as its row was deleted.

Cause: the first plan of a flush marked the review of all budgets as done. If its commit conflicted with another router's, the second plan read only budgets with bills or demand, found nothing to commit, and Close took that for success and deleted the holder's row.

Class: progress is recorded before it is made.

Change: whether a flush reviews is decided once, and the review is done when its commit took effect. This also holds for reviews of a running router.

--- a/internal/process/spender/flusher.go
+++ b/internal/process/spender/flusher.go
@@ -102,15 +102,23 @@
 	if err := f.reload(ctx); err != nil {
 		return err
 	}
+	review := now.Sub(f.lastReview) >= f.ReviewInterval
 	for range maxConflictRetries {
-		p, err := f.plan(ctx, now)
-		if err != nil || p == nil {
+		p, err := f.plan(ctx, now, review)
+		if err != nil {
 			return err
 		}
-		err = f.Table.Commit(ctx, p.commit)
+		if p != nil {
+			err = f.Table.Commit(ctx, p.commit)
+		}
 		switch {
 		case err == nil:
-			f.committed(p)
+			if review {
+				f.lastReview = now
+			}
+			if p != nil {
+				f.committed(p)
+			}
 			return nil
 		case errors.Is(err, storer.ErrConflict):
 			f.abandon(p)
--- a/internal/process/spender/flusher_test.go
+++ b/internal/process/spender/flusher_test.go
@@ -62,3 +62,35 @@
 	assert.Equal(t, len(b.Holders), 0)
 	assert.Equal(t, b.Remaining, int64(1000))
 }
+
+// contendedTable rejects the next commit, as if another router had just written a row.
+type contendedTable struct {
+	storer.Table
+	contended bool
+}
+
+func (t *contendedTable) Commit(ctx context.Context, c storer.Commit) error {
+	if t.contended {
+		t.contended = false
+		return storer.ErrConflict
+	}
+	return t.Table.Commit(ctx, c)
+}
+
+// TestConflictWhileClosing closes a router whose commit conflicts with another router's. It must
+// return its tokens all the same before it deletes its row.
+func TestConflictWhileClosing(t *testing.T) {
+	ctx, now, table := context.Background(), time.Unix(1000, 0), &contendedTable{Table: openBudget(t, 1000)}
+	pool, f := newHolder(t, table, "router-1")
+	f.ReviewInterval = time.Second
+	pool.RecordDemand("alpha", 10, now)
+	assert.NilError(t, f.Flush(ctx, now))
+	assert.Equal(t, pool.Held("alpha"), int64(1000))
+	table.contended = true
+	assert.NilError(t, f.Close(ctx, now))
+	row, err := storer.ReadOne(ctx, table, bookkeeper.BudgetKey("alpha"))
+	assert.NilError(t, err)
+	b, err := bookkeeper.DecodeBudget(row.Value)
+	assert.NilError(t, err)
+	assert.Equal(t, b.Remaining, int64(1000))
+}
--- a/internal/process/spender/plan.go
+++ b/internal/process/spender/plan.go
@@ -22,9 +22,9 @@
 
 // plan reads the affected budget rows and builds the commit, or returns nil if there is
 // nothing to commit.
-func (f *Flusher) plan(ctx context.Context, now time.Time) (*plan, error) {
+func (f *Flusher) plan(ctx context.Context, now time.Time, review bool) (*plan, error) {
 	b := f.Pool.nextBatch(maxBillsPerFlush)
-	names := f.affectedBudgets(b, now)
+	names := f.affectedBudgets(b, now, review)
 	rows, err := f.readBudgets(ctx, names)
 	if err != nil {
 		return nil, err
@@ -61,16 +61,12 @@
 }
 
 // affectedBudgets returns the budgets that this flush reads, sorted: those with bills or
-// unmet demand, or all if a review is due.
-func (f *Flusher) affectedBudgets(b batch, now time.Time) []string {
+// unmet demand, or all if it is a review.
+func (f *Flusher) affectedBudgets(b batch, now time.Time, review bool) []string {
 	set := make(map[string]bool)
 	for _, bill := range b.bills {
 		set[bill.Organisation] = true
 	}
-	review := now.Sub(f.lastReview) >= f.ReviewInterval
-	if review {
-		f.lastReview = now
-	}
 	for _, name := range f.Pool.Organisations() {
 		s := f.Pool.state(name, now)
 		if s.unmet > 0 || review {
