Allocator: accounts that requests wait for come first in a commit

Cause: after conflicts a commit contains one account, and accounts were taken in the random order of a map, so that those without any demand, with holdings to take over, came before those that requests waited for.

Change: the accounts that are due are collected first, those with unmet demand in front.

--- a/internal/process/spender/holdingcommit.go
+++ b/internal/process/spender/holdingcommit.go
@@ -140,14 +140,12 @@
 	}
 	var names []string
 	var c storer.Commit
-	for name, acct := range a.accounts {
+	for _, name := range a.dueAccounts(started, urgent, closing) {
 		if len(names) == limit {
 			break
 		}
-		if acct.pending == nil && !acct.plannedAt.Before(started) {
-			continue
-		}
-		p := a.planAccount(acct, urgent, closing)
+		acct := a.accounts[name]
+		p := a.planAccount(acct, closing)
 		if p == nil || (p.budget == nil) != (sc == scopeOwn) {
 			continue
 		}
@@ -169,15 +167,29 @@
 	return names, c
 }
 
-// planAccount returns the change of one account's rows, or nil if none is due.
-func (a *Allocator) planAccount(acct *holdingAccount, urgent, closing bool) *holdingPlan {
+// dueAccounts returns the accounts to consider for a commit, those that requests wait for
+// first: after conflicts a commit contains few accounts. a.mu must be held.
+func (a *Allocator) dueAccounts(started time.Time, urgent, closing bool) []string {
+	now := time.Now()
+	var waiting, others []string
+	for name, acct := range a.accounts {
+		switch {
+		case acct.pending == nil && (!acct.plannedAt.Before(started) || !acct.due(now, urgent, closing)):
+		case acct.unmet > 0:
+			waiting = append(waiting, name)
+		default:
+			others = append(others, name)
+		}
+	}
+	return append(waiting, others...)
+}
+
+// planAccount returns the change of one account's rows, or nil if none is needed.
+func (a *Allocator) planAccount(acct *holdingAccount, closing bool) *holdingPlan {
 	now := time.Now()
 	if acct.pending != nil {
 		return acct.pending
 	}
-	if !acct.due(now, urgent, closing) {
-		return nil
-	}
 	v := acct.view(a.Horizon, now)
 	change := HoldingChange(v)
 	if closing {
