Flusher: only a router that closes reviews all budgets again after a conflict

Found on reading again: it let every flush repeat its review after a conflict, and after each failed one, so that many routers with many budgets would conflict again and bills would wait. A running router loses nothing if a review is cut short: the next comes within two seconds, as before. A router that closes has no next one, so it reviews in each try, also if a background flush has just reviewed.

--- a/internal/process/spender/flusher.go
+++ b/internal/process/spender/flusher.go
@@ -102,26 +102,23 @@
 	if err := f.reload(ctx); err != nil {
 		return err
 	}
-	review := now.Sub(f.lastReview) >= f.ReviewInterval
+	review := f.closing || now.Sub(f.lastReview) >= f.ReviewInterval
+	if review {
+		f.lastReview = now
+	}
 	for range maxConflictRetries {
 		p, err := f.plan(ctx, now, review)
-		if err != nil {
+		if err != nil || p == nil {
 			return err
 		}
-		if p != nil {
-			err = f.Table.Commit(ctx, p.commit)
-		}
+		err = f.Table.Commit(ctx, p.commit)
 		switch {
 		case err == nil:
-			if review {
-				f.lastReview = now
-			}
-			if p != nil {
-				f.committed(p)
-			}
+			f.committed(p)
 			return nil
 		case errors.Is(err, storer.ErrConflict):
 			f.abandon(p)
+			review = f.closing // a commit of few budgets is less likely to conflict again
 			if err := f.reload(ctx); err != nil {
 				return err
 			}
@@ -141,7 +138,6 @@
 	f.mu.Lock()
 	f.Policy = emptyPolicy{}
 	f.closing = true
-	f.lastReview = time.Time{}
 	f.mu.Unlock()
 	err := f.Flush(ctx, now)
 	f.mu.Lock()
