--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -58,14 +58,14 @@
 func (g *Gateway) recordCrashUnder(q *request, target registrar.Entry) {
 	q.crashes++
 	g.recordCrash(q.ID, target, suspecter.Observation{
-		Digest: q.digest, Run: q.start, At: time.Now(), Isolated: q.verdict == suspecter.Suspect && g.tracker.runningAt(target.ID) == 1,
+		Digest: q.digest, Run: q.targetStart, At: time.Now(), Isolated: q.verdict == suspecter.Suspect && g.tracker.runningAt(target.ID) == 1,
 	})
 }
 
 // recordAbandoned records that a request was canceled while a target ran it, and checks
 // shortly after whether the target has crashed all the same.
 func (g *Gateway) recordAbandoned(q *request, target registrar.Entry) {
-	start := q.start
+	start := q.targetStart
 	if !g.tracker.recordAbandoned(target.ID, abandonedRequest{id: q.ID, digest: q.digest, run: start}) {
 		return // the check is pending
 	}
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -106,7 +106,7 @@
 		inFlight, suspectEnded := g.tracker.begin(target.ID, shape, shape.Suspect && now.Before(isolateUntil), now)
 		if inFlight != nil {
 			q.triedRuns[runOf(target)], q.targetID, q.inFlight = true, target.ID, inFlight
-			q.start = g.suspects.Start(runOf(target))
+			q.targetStart = g.suspects.Start(runOf(target))
 			return target, nil
 		}
 		waitFor(ctx, suspectEnded, isolateUntil)
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -74,8 +74,9 @@
 	crashes   int
 	verdict   suspecter.Verdict
 	triedRuns map[string]bool
-	// start names the start of the target that the current attempt goes to.
-	start string
+	// targetStart names the start of the target that the current attempt goes to; see
+	// suspecter.Start.
+	targetStart string
 	// firstByteAfter and lastAttemptAfter are the times from the start to the first
 	// byte of the response and to the last attempt.
 	firstByteAfter   time.Duration
