Router: tells its peers of a poison request before it responds

What callers saw: a request that crashes engines ended three instead of two, and 10 or 11 of 30 requests beside it failed, since no engine was left for their retries.

Cause, traced with the agents' queues and verdicts printed: the agent of the second crash had not heard of the first one (heartbeats come once a second), so it judged "suspect" from its own crash alone, although the router that sent the request knew of both. The router took the agent's reason for the verdict and broadcast the crashes in the background; its client retried through the other router, which still had one crash.

Ruled out: isolation (the suspect ran alone at the second and third engine), two names of one crash, crashes taken for failures.

Now the router judges by its own observations, to which it has just added the agent's, and broadcasts before it responds. A broadcast also goes on until the peer has confirmed everything: one heartbeat carries 16 observations, and a large batch has more suspects (Exchange.Pending).

--- a/internal/process/router/attempt.go
+++ b/internal/process/router/attempt.go
@@ -113,7 +113,13 @@
 	switch end.Reason {
 	case agent.ReasonCrashed:
 		c.RecordFailure(time.Now())
-		go r.broadcastCrashes()
+		if r.suspects.Verdict(creq.digest) == suspecter.Poison {
+			// The client may retry through another router as soon as it has its response.
+			// The agent can't tell: it may not have heard of the earlier crashes.
+			r.broadcastCrashes()
+		} else {
+			go r.broadcastCrashes()
+		}
 	case agent.ReasonPoison:
 		r.broadcastCrashes()
 	case agent.ReasonFailed, agent.ReasonDown:
--- a/internal/process/router/links.go
+++ b/internal/process/router/links.go
@@ -164,7 +164,9 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			_ = r.heartbeatPeer(ctx, name, link)
+			// A crash of a large batch has more suspects than one heartbeat takes.
+			for r.heartbeatPeer(ctx, name, link) == nil && r.crashes.Pending(link) {
+			}
 		}()
 	}
 	wg.Wait()
--- a/internal/request/suspecter/exchange.go
+++ b/internal/request/suspecter/exchange.go
@@ -53,6 +53,11 @@
 	return repeated
 }
 
+// Pending reports whether there are observations that the peer has not confirmed.
+func (e *Exchange[K]) Pending(link K) bool {
+	return len(e.Request(link).Observations) > 0
+}
+
 // Drop forgets a link that is down.
 func (e *Exchange[K]) Drop(link K) {
 	e.mu.Lock()
--- a/internal/request/suspecter/suspecter_test.go
+++ b/internal/request/suspecter/suspecter_test.go
@@ -154,10 +154,12 @@
 	_ = exchange.Request("link")
 	_, _ = b.Reply(exchange.Request("link"), suspecter.All)
 	assert.Equal(t, b.Verdict("a"), suspecter.Suspect)
+	assert.Assert(t, exchange.Pending("link"))
 	request := exchange.Request("link")
 	reply, _ := b.Reply(request, suspecter.All)
 	exchange.Finish("link", request, reply)
 	assert.Equal(t, a.Verdict("b"), suspecter.Suspect)
+	assert.Assert(t, exchange.Pending("link"), "b has not confirmed a's second observation")
 	reply, _ = b.Reply(exchange.Request("link"), suspecter.All)
 	assert.Equal(t, len(reply.Observations), 0)
 }
