--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -18,10 +18,12 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -322,11 +324,15 @@
 }
 
 func (c *checker) fraction(key string, v *float64, defaultValue float64) float64 {
+	return c.number(key, v, defaultValue, 0, 1)
+}
+
+func (c *checker) number(key string, v *float64, defaultValue, low, high float64) float64 {
 	if v == nil {
 		return defaultValue
 	}
-	if *v < 0 || *v > 1 {
-		c.addFault(key, "must be 0 to 1, not %g", *v)
+	if !(*v >= low && *v <= high) { // also refuses NaN
+		c.addFault(key, "must be %g to %g, not %g", low, high, *v)
 	}
 	return *v
 }
@@ -335,13 +341,31 @@
 	if v == "" {
 		return defaultValue
 	}
-	d, err := time.ParseDuration(v)
+	d, err := parseDuration(v)
 	if err != nil || d < low || d > high {
 		c.addFault(key, "must be a duration from %s to %s, not %q", low, high, v)
 	}
 	return d
 }
 
+// parseDuration parses a duration like time.ParseDuration. It also accepts seconds with an
+// exponent, such as "1e+03s", in which programs write large numbers.
+func parseDuration(v string) (time.Duration, error) {
+	d, err := time.ParseDuration(v)
+	if err == nil {
+		return d, nil
+	}
+	seconds, ok := strings.CutSuffix(v, "s")
+	if !ok {
+		return 0, err
+	}
+	n, numberErr := strconv.ParseFloat(seconds, 64)
+	if numberErr != nil || !(math.Abs(n) < math.MaxInt64/float64(time.Second)) {
+		return 0, err
+	}
+	return time.Duration(n * float64(time.Second)), nil
+}
+
 // DetectKind returns the kind of a file, which it derives from the keys: "router",
 // "agent", "gateway", "companion" or "fleet". A file that can't be parsed or has
 // none of these keys counts as "router".
--- a/internal/process/configurer/gateway.go
+++ b/internal/process/configurer/gateway.go
@@ -37,13 +37,16 @@
 	StoreTimeout   string   `toml:"storeTimeout"`
 	RetryRatio     *float64 `toml:"retryRatio"`
 	RetryWindow    string   `toml:"retryWindow"`
-	RetrySlack     float64  `toml:"retrySlack"`
+	RetrySlack     *float64 `toml:"retrySlack"`
 	StockHorizon   string   `toml:"stockHorizon"`
 }
 
 const (
 	// defaultRetryRatio allows one retry per five requests.
 	defaultRetryRatio = 0.2
+	// maxRetryRatio and maxRetrySlack are far above any useful budget.
+	maxRetryRatio = 100
+	maxRetrySlack = 1e9
 	// defaultLeaveTime is longer than two intervals of a load balancer that probes
 	// readiness once a second.
 	defaultLeaveTime = 2500 * time.Millisecond
@@ -71,17 +74,14 @@
 		LeaveTime:     c.duration("leaveTime", f.LeaveTime, defaultLeaveTime, 0, time.Minute),
 		ShutdownLimit: c.duration("shutdownLimit", f.ShutdownLimit, time.Minute, time.Second, time.Hour),
 		StoreTimeout:  c.duration("storeTimeout", f.StoreTimeout, defaultStoreTimeout, 10*time.Millisecond, time.Minute),
-		RetryRatio:    c.fraction("retryRatio", f.RetryRatio, defaultRetryRatio),
+		RetryRatio:    c.number("retryRatio", f.RetryRatio, defaultRetryRatio, 0, maxRetryRatio),
 		RetryWindow:   c.duration("retryWindow", f.RetryWindow, 10*time.Second, time.Second, time.Hour),
-		RetrySlack:    f.RetrySlack,
+		RetrySlack:    c.number("retrySlack", f.RetrySlack, 0, 0, maxRetrySlack),
 		StockHorizon:  c.duration("stockHorizon", f.StockHorizon, defaultStockHorizon, time.Second, time.Hour),
 	}
 	if f.MetricsAddress != "" {
 		s.MetricsAddress = c.address("metricsAddress", f.MetricsAddress)
 	}
-	if f.RetrySlack < 0 {
-		c.addFault("retrySlack", "must not be below 0, and is %g", f.RetrySlack)
-	}
 	for _, seed := range f.Seeds {
 		s.Seeds = append(s.Seeds, c.address("seeds", seed))
 	}
