Retries: a gateway that knows less of the fleet spends no more

Cause: the slack of the budget was divided by the links that are up, so a gateway that can't reach the others took all of it; and a new process had spent nothing yet, so each start got its part again. The slices of the window were also numbered by the time of day, so a jump of the clock emptied the window.

Ruled out: the share of requests (each gateway counts its own), the exchanger (it sends nothing twice), dials without a byte sent.

New package request/retrier: the slack is divided by the gateways that have ever enrolled, and a gateway uses none until a window after it enrolled and once it has heard nothing of the store for a window. Slices are numbered by the steady clock. The same count now paces heartbeats to the store, which rose to one gateway's rate in a cut between gateways.

--- a/cmd/egretroute/gateway.go
+++ b/cmd/egretroute/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretroute/egretroute/internal/process/configurer"
 	"github.com/egretroute/egretroute/internal/process/gateway"
+	"github.com/egretroute/egretroute/internal/request/retrier"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/platform"
 )
@@ -52,8 +53,8 @@
 
 func gatewayLimits(s *configurer.Gateway) gateway.Limits {
 	return gateway.Limits{
-		DrainDelay: s.LeaveTime, ShutdownTimeout: s.ShutdownLimit, RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow,
-		RetrySlack: s.RetrySlack, StockHorizon: s.StockHorizon,
+		DrainDelay: s.LeaveTime, ShutdownTimeout: s.ShutdownLimit, StockHorizon: s.StockHorizon,
+		Retries: retrier.Limits{Ratio: s.RetryRatio, Window: s.RetryWindow, Slack: s.RetrySlack},
 	}
 }
 
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -79,7 +79,7 @@
 		if ctx.Err() != nil {
 			return timedOut(q)
 		}
-		if q.attempts >= q.route.MaxAttempts || !g.retries.allow(q.service.Name, g.tracker.routerCount(), time.Now()) {
+		if q.attempts >= q.route.MaxAttempts || !g.retries.Allow(q.service.Name, g.membership(), time.Now()) {
 			return noTargetLeft(q, busyRetryAfter)
 		}
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/request/retrier"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
@@ -76,11 +77,8 @@
 	DrainDelay time.Duration
 	// ShutdownTimeout bounds the whole shutdown, DrainDelay included.
 	ShutdownTimeout time.Duration
-	// RetryRatio, RetryWindow and RetrySlack bound the retries of a service over the
-	// whole fleet: in each RetryWindow to RetryRatio of its requests plus RetrySlack.
-	RetryRatio  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
+	// Retries bounds the retries of each service over the whole fleet.
+	Retries retrier.Limits
 	// StockHorizon is the time for which holdings of tokens should last.
 	StockHorizon time.Duration
 }
@@ -116,7 +114,9 @@
 	pool       *exchanger.Pool
 	heartbeats *spender.Heartbeater
 	allocator  *spender.Allocator
-	retries    *retryBudget
+	retries    *retrier.Budget
+	// enrolledAt is when this process's row was written to the members table.
+	enrolledAt atomic.Pointer[time.Time]
 	metrics    *metrics
 	draining   atomic.Bool
 	// activeRequests counts requests whose headers were read and whose response is not
@@ -175,12 +175,12 @@
 	g.store = &relayer.Store{Direct: g.Store, Links: g.peers.links, OnLost: g.onDirectLost, OnRestored: g.onDirectRestored}
 	g.archiver = g.newArchiver()
 	g.relayServer = &relayer.Server{Store: g.Store}
-	g.retries = &retryBudget{Limits: g.limits.Load}
+	g.retries = &retrier.Budget{Limits: func() retrier.Limits { return g.limits.Load().Retries }}
 	g.metrics = newMetrics(g.Registry)
 	g.heartbeats = &spender.Heartbeater{
 		CollectAllowances: func(collect func(map[string]spender.Allowance)) { g.allocator.CollectAllowances(collect) }, OnConfirmed: func() { g.allocator.HeartbeatConfirmed() },
 		Table: g.store, Incarnation: g.Incarnation, Key: g.Schema.RowKey("beats", g.Name+heartbeatsSuffix, g.Name),
-		Routers: g.tracker.routerCount, OnLost: g.onHeartbeatLost, OnRestored: g.onHeartbeatRestored,
+		Routers: g.peers.routerCount, OnLost: g.onHeartbeatLost, OnRestored: g.onHeartbeatRestored,
 	}
 	g.allocator = &spender.Allocator{
 		Table: g.store, Router: g.Name, Incarnation: g.Incarnation, BudgetKey: g.budgetKey,
@@ -320,6 +320,8 @@
 		Domain: g.Domain,
 	}}
 	if err := e.Run(ctx); err == nil {
+		now := time.Now()
+		g.enrolledAt.Store(&now)
 		logger.MemberEnrolled.Log(g.Log, "host", g.Name, "address", g.FleetListener.Addr().String())
 	}
 }
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -141,7 +141,7 @@
 	if ref := g.reserve(ctx, q); ref != nil {
 		return ref
 	}
-	g.retries.recordRequest(q.service.Name, q.startedAt)
+	g.retries.RecordRequest(q.service.Name, q.startedAt)
 	defer g.settle(q)
 	return g.forward(ctx, out, q)
 }
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/request/retrier"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
@@ -86,6 +87,32 @@
 	return out
 }
 
+// routerCount returns the number of routers that have ever enrolled, as far as this one
+// knows. It doesn't fall while routers can't reach each other.
+func (p *peerLinks) routerCount() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, m := range p.members {
+		if m.Kind == enroller.Router {
+			n++
+		}
+	}
+	return float64(max(n, 1))
+}
+
+// membership returns what this router knows of the routers that share the slack of retries.
+func (g *Gateway) membership() retrier.Membership {
+	m := retrier.Membership{Routers: int(g.peers.routerCount())}
+	if v, ok := g.feeds.Load(membersTable); ok {
+		m.ReadAt = v.(feedState).succeededAt
+	}
+	if at := g.enrolledAt.Load(); at != nil {
+		m.EnrolledAt = *at
+	}
+	return m
+}
+
 func ping(ctx context.Context, _ string, link *linker.Link) error {
 	_, err := linker.Call[*framer.Pong](ctx, link, &framer.Ping{})
 	return err
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -234,13 +234,6 @@
 	return int(s.shortTargets + 0.5)
 }
 
-// routerCount returns the number of routers that share the load, this one included.
-func (t *targetTracker) routerCount() float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return float64(len(t.peerLoads) + 1)
-}
-
 // inFlightRequest is a request that was sent to a target and has not ended.
 type inFlightRequest struct {
 	tracker       *targetTracker
