Attempts end when a target sends bytes without end

What callers saw: interim responses, or a header of which a byte comes now and then, held an attempt until the route's timeout (504) although another target would have answered; comments on a stream were passed on for as long as they came.

Cause: the bound of a header was per interim response and there was none on their number or on time; late responses were discarded to their end; comments counted as events (they also counted as the first token and were billed as events).

Now one bound of bytes (64 KB), of time from the first byte (1 s) and of interim responses (8) holds for a header; late responses are discarded up to 1 MB; an event may have 256 KB (1 MB before) and 64 KB of comments may come between two events. Such an attempt is ErrEndless: line 339, its own metric label, ejection as after a reset, another target where the request may run again. Only events with data or an ID count as events.

An endless plain body stays: it can't be told from a long one.

--- a/cmd/egretroute/gateway.go
+++ b/cmd/egretroute/gateway.go
@@ -9,8 +9,8 @@
 
 	"github.com/egretroute/egretroute/internal/process/configurer"
 	"github.com/egretroute/egretroute/internal/process/gateway"
-	"github.com/egretroute/egretroute/internal/request/retrier"
 	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/request/retrier"
 	"github.com/egretroute/egretroute/platform"
 )
 
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -40,6 +40,9 @@
 	// ErrBroken is returned when the connection failed after a byte was sent; the
 	// request may have run.
 	ErrBroken = errors.New("the connection to the target failed")
+	// ErrEndless is returned when the target sends bytes that are no response and don't end;
+	// the request may have run.
+	ErrEndless = errors.New("the target sends bytes without end")
 	// ErrTruncated is returned by reads of a body that ended too early.
 	ErrTruncated = errors.New("the response ended too early")
 )
@@ -55,8 +58,15 @@
 	keepAliveInterval = time.Second
 	// unackedTimeout is TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged.
 	unackedTimeout = 2 * time.Second
-	// maxHeaderBytes bounds the header of a response.
+	// maxHeaderBytes bounds the header of a response, with the interim responses before it.
 	maxHeaderBytes = 64 << 10
+	// maxHeaderTime is how long a header may take from its first byte to its last, and all
+	// interim responses together.
+	maxHeaderTime = time.Second
+	// maxInterimResponses is how many interim (1xx) responses may come before the final one.
+	maxInterimResponses = 8
+	// maxStrayBytes bounds the body of a response to an earlier request.
+	maxStrayBytes = 1 << 20
 	// probeDialTime is how long Refused waits for an answer to one dial, many round trips
 	// inside a region, and probeOpenTime how long a connection must stay open.
 	probeDialTime  = 30 * time.Millisecond
@@ -119,7 +129,7 @@
 }
 
 // Exchange sends a request and reads the header of its response. The connection is
-// closed when ctx ends. Errors wrap ErrNotSent or ErrBroken.
+// closed when ctx ends. Errors wrap ErrNotSent, ErrBroken or ErrEndless.
 func (p *Pool) Exchange(ctx context.Context, address string, req Request) (*Response, error) {
 	c, err := p.take(ctx, address, req.NewConnection)
 	if err != nil {
@@ -138,6 +148,9 @@
 	if err != nil {
 		stopWatch()
 		_ = c.Close()
+		if errors.Is(err, ErrEndless) {
+			return nil, err
+		}
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
 	return &Response{
@@ -337,24 +350,62 @@
 		if resp.Close {
 			break
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := discard(c, resp.Body); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errors.New("received only responses to other requests")
 }
 
-// readHead reads the header of the final response and skips interim (1xx) ones.
+// discard reads the body of a response to an earlier request. The body was complete when the
+// earlier request ended, so it comes at once.
+func discard(c *conn, body io.Reader) error {
+	_ = c.SetReadDeadline(time.Now().Add(maxHeaderTime))
+	n, err := io.CopyN(io.Discard, body, maxStrayBytes)
+	switch {
+	case n == maxStrayBytes || errors.Is(err, os.ErrDeadlineExceeded):
+		return errors.Wrap(ErrEndless, "response to an earlier request")
+	case err != io.EOF:
+		return err
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// readHead reads the header of the final response and skips interim (1xx) ones. A target may
+// take its time before a header, but not within one.
 func readHead(c *conn, method string) (*http.Response, error) {
-	for {
-		c.limited.N = maxHeaderBytes
+	c.limited.N = maxHeaderBytes
+	var firstInterim time.Time
+	for range maxInterimResponses + 1 {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, headError(c, err)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(maxHeaderTime))
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
+			return nil, headError(c, err)
+		}
+		if err := c.SetReadDeadline(time.Time{}); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= 200 {
 			c.limited.N = 1 << 62
 			return resp, nil
 		}
+		if firstInterim.IsZero() {
+			firstInterim = time.Now()
+		}
+		if time.Since(firstInterim) > maxHeaderTime {
+			break
+		}
+	}
+	return nil, errors.Wrap(ErrEndless, "interim responses")
+}
+
+// headError returns ErrEndless for an error that comes from a limit of the header.
+func headError(c *conn, err error) error {
+	if c.limited.N <= 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Wrap(ErrEndless, "response header")
 	}
+	return err
 }
--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -17,7 +17,11 @@
 )
 
 const (
-	maxEventBytes     = 1 << 20
+	maxEventBytes = 1 << 20
+	// maxHeaderBytes bounds the header of a target's response, maxIdleBytes what comes
+	// between two events.
+	maxHeaderBytes    = 64 << 10
+	maxIdleBytes      = 64 << 10
 	settleTimeout     = 2 * time.Second
 	eventBufferBytes  = 4 << 10
 	eventStreamPrefix = "text/event-stream"
@@ -32,7 +36,7 @@
 
 // NewEngine returns the Backend of the engine at url.
 func NewEngine(url, model string) Backend {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &engine{url: url, model: model, http: &http.Client{Transport: transport}}
 }
 
@@ -157,6 +161,8 @@
 	errIncompleteStream = errors.New("event stream ended before [DONE]")
 	// errEngineFailed is returned for an event stream in which the engine reports an error.
 	errEngineFailed = errors.New("engine reported an error in its event stream")
+	// errEndless is returned for an event stream that goes on without an event.
+	errEndless = errors.New("event stream goes on without an event")
 	// errNoUsage is returned for an event stream that ends without reporting its usage.
 	errNoUsage = errors.New("event stream ended without reporting its usage")
 )
@@ -176,6 +182,9 @@
 		if done || err != nil {
 			return f.usage, err
 		}
+		if f.idleBytes > maxIdleBytes {
+			return f.usage, errEndless
+		}
 	}
 	if err := scanner.Err(); err != nil {
 		return f.usage, errors.Wrap(err, "read events")
@@ -188,6 +197,8 @@
 	sink     Sink
 	usage    Usage
 	reported bool // the engine has reported a usage
+	// idleBytes counts comments and other lines since the last event.
+	idleBytes int
 }
 
 // forward copies one line of the stream if it is an event, and reports whether it is the
@@ -198,8 +209,10 @@
 	}
 	data, ok := bytes.CutPrefix(line, []byte("data: "))
 	if !ok {
+		f.idleBytes += len(line) + 1
 		return false, nil
 	}
+	f.idleBytes = 0
 	if bytes.Equal(data, []byte("[DONE]")) {
 		if !f.reported {
 			return false, errNoUsage
--- a/internal/process/agent/engine_test.go
+++ b/internal/process/agent/engine_test.go
@@ -48,6 +48,13 @@
 			text, err := strconv.Unquote(value)
 			assert.NilError(t, err, line)
 			c.sends = append(c.sends, text)
+		case "repeat":
+			count, quoted, _ := strings.Cut(value, " ")
+			n, err := strconv.Atoi(count)
+			assert.NilError(t, err, line)
+			text, err := strconv.Unquote(quoted)
+			assert.NilError(t, err, line)
+			c.sends = append(c.sends, strings.Repeat(text, n))
 		case "end":
 			c.end = value
 		case "event":
--- a/internal/process/agent/service.go
+++ b/internal/process/agent/service.go
@@ -23,8 +23,8 @@
 // NewService returns the Backend of the plain service at url.
 func NewService(url, name string) Backend {
 	return &service{
-		url: url, name: name, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
-		once: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		url: url, name: name, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeaderBytes}},
+		once: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
 }
 
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -234,7 +234,11 @@
 // recordFailedAttempt logs and counts an attempt without a usable response and returns
 // its result. It ejects the target unless the client has disconnected.
 func (g *Gateway) recordFailedAttempt(ctx context.Context, q *request, target registrar.Entry, err error, result attemptResult) attemptResult {
-	g.metrics.attempts.WithLabelValues("error").Inc()
+	outcome := "error"
+	if errors.Is(err, exchanger.ErrEndless) {
+		outcome = "endless"
+	}
+	g.metrics.attempts.WithLabelValues(outcome).Inc()
 	if ctx.Err() != nil && result == resultFailed {
 		g.recordAbandoned(q, target)
 	}
@@ -246,7 +250,11 @@
 	if result == resultFailed && ctx.Err() == nil && g.hasCrashed(ctx, target) {
 		g.recordCrashUnder(q, target)
 	}
-	logger.AttemptFailed.Log(g.Log, "request", q.ID, "digest", q.digest, "target", target.ID, "revision", target.Revision,
+	event := logger.AttemptFailed
+	if errors.Is(err, exchanger.ErrEndless) {
+		event = logger.TargetEndless
+	}
+	event.Log(g.Log, "request", q.ID, "digest", q.digest, "target", target.ID, "revision", target.Revision,
 		"sent", result != resultUnsent, "beside", g.tracker.runningAt(target.ID)-1, "aside", ejection, "error", err)
 	return result
 }
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -50,8 +50,10 @@
 			out.finish()
 			g.recordAnswer(q, target)
 			return resultAnswered
-		case err != nil || q.splitter.TooLong():
-			return g.recordFailedAttempt(ctx, q, target, errOr(err, io.ErrUnexpectedEOF), resultFailed)
+		case q.splitter.Endless():
+			return g.recordFailedAttempt(ctx, q, target, errors.Wrap(exchanger.ErrEndless, "stream without an event"), resultFailed)
+		case err != nil:
+			return g.recordFailedAttempt(ctx, q, target, errMidEvent(err), resultFailed)
 		}
 	}
 }
@@ -62,8 +64,10 @@
 	if len(events) == 0 {
 		return nil
 	}
-	q.inFlight.recordFirstToken()
-	if q.deliveredEvents == 0 {
+	if q.splitter.Events > 0 {
+		q.inFlight.recordFirstToken()
+	}
+	if q.deliveredEvents == 0 && q.splitter.Events > 0 {
 		q.firstByteAfter = time.Since(q.startedAt)
 		g.metrics.observeFirstByte(q.route.Kind.String(), q.firstByteAfter)
 	}
@@ -74,9 +78,10 @@
 	return out.flush()
 }
 
-func errOr(err, other error) error {
-	if err != nil {
-		return err
+// errMidEvent returns the error of a stream that ended in the middle of an event.
+func errMidEvent(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
 	}
-	return other
+	return err
 }
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -80,6 +80,7 @@
 	PoisonRefused             = Event{336, slog.LevelWarn, "request refused: its contents crash the targets that run it", "explain its digest; tell the organisation"}
 	CrashesLearned            = Event{337, slog.LevelWarn, "another router has seen requests with these contents crash several targets", "explain the digest"}
 	SuspicionCleared          = Event{338, slog.LevelInfo, "target answered a request that was suspected of a crash", "none"}
+	TargetEndless             = Event{339, slog.LevelWarn, "attempt ended: the target sends bytes without end that are no response", "check the target; it is ejected like after a reset"}
 	RequestEnded              = Event{340, slog.LevelInfo, "request answered", "none"}
 	RequestNotAnswered        = Event{341, slog.LevelWarn, "request not answered", "see docs/OPERATIONS.md"}
 	BudgetRefused             = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
@@ -106,6 +107,6 @@
 	GatewayStarted, GatewayDraining, GatewayStopped, MetricsServerFailed, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedRecovered, FeedReset,
 	ConfigurationApplied, ConfigurationUnreadable, TargetsListed, TargetUpdated, TargetRemoved, TargetUnreadable, StoreDirectPathLost, StoreDirectPathRestored, MemberUnreadable,
 	RowsFetchedFromPeer,
-	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
+	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable,
 }
--- a/internal/process/storer/client.go
+++ b/internal/process/storer/client.go
@@ -4,13 +4,19 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-const maxIdleConnections = 16
+const (
+	maxIdleConnections = 16
+	// maxHeaderBytes and maxResponseBytes bound a response.
+	maxHeaderBytes   = 64 << 10
+	maxResponseBytes = 64 << 20
+)
 
 // Client is a Table that calls the platform's table service over HTTP with JSON bodies.
 type Client struct {
@@ -20,7 +26,7 @@
 
 // NewClient returns a client for the platform at url. The timeout bounds each call.
 func NewClient(url string, timeout time.Duration) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{URL: url, HTTP: &http.Client{Transport: transport, Timeout: timeout}}
 }
 
@@ -122,5 +128,5 @@
 	if out == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "decode platform reply")
+	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out), "decode platform reply")
 }
--- a/internal/request/splitter/splitter.go
+++ b/internal/request/splitter/splitter.go
@@ -16,18 +16,24 @@
 	"strconv"
 )
 
-// maxPartialBytes bounds the buffered part of an incomplete event; see TooLong.
-const maxPartialBytes = 1 << 20
+const (
+	// maxPartialBytes bounds the buffered part of an incomplete event; see Endless.
+	maxPartialBytes = 256 << 10
+	// maxIdleBytes bounds what comes after an event with data or an ID without another one,
+	// such as comments.
+	maxIdleBytes = 64 << 10
+)
 
 // Splitter buffers the incomplete event at the end of a stream. Its zero value is ready
 // to use.
 type Splitter struct {
 	// LastID is the ID of the last complete event that has one.
 	LastID string
-	// Events is the number of complete events.
+	// Events is the number of complete events with data or an ID.
 	Events int64
 
-	partial []byte
+	partial   []byte
+	idleBytes int // of comments and other lines since the last event that counts
 	// unnumbered is set if the last event with data has no ID.
 	unnumbered bool
 	// resumed is set until the first event with an ID after Resume.
@@ -59,10 +65,10 @@
 	return len(s.partial) > 0
 }
 
-// TooLong reports whether the incomplete event exceeds 1 MiB; the caller should then
-// treat the stream as broken, as Feed goes on buffering it.
-func (s *Splitter) TooLong() bool {
-	return len(s.partial) > maxPartialBytes
+// Endless reports whether the incomplete event, or what came instead of events, exceeds its
+// bound; the caller should then treat the stream as broken, as Feed goes on buffering it.
+func (s *Splitter) Endless() bool {
+	return len(s.partial) > maxPartialBytes || s.idleBytes > maxIdleBytes
 }
 
 // Resumable reports whether LastID tells where all events so far end.
@@ -73,7 +79,7 @@
 // Resume drops an incomplete event, because another run will send it again. Events of
 // that run must have IDs above LastID.
 func (s *Splitter) Resume() {
-	s.partial = nil
+	s.partial, s.idleBytes = nil, 0
 	s.resumed, s.repeats = s.LastID != "", false
 }
 
@@ -120,14 +126,18 @@
 	for len(events) > 0 {
 		event, remaining, _ := bytes.Cut(events, []byte("\n\n"))
 		events = remaining
-		if len(event) == 0 {
-			continue
-		}
-		s.Events++
-		if id, ok := firstID(event); ok {
+		id, numbered := firstID(event)
+		hasData := bytes.HasPrefix(event, []byte("data:")) || bytes.Contains(event, []byte("\ndata:"))
+		switch {
+		case numbered:
 			s.LastID, s.unnumbered = id, false
-		} else if bytes.HasPrefix(event, []byte("data:")) || bytes.Contains(event, []byte("\ndata:")) {
+		case hasData:
 			s.unnumbered = true
+		default:
+			s.idleBytes += len(event) + len("\n\n")
+			continue
 		}
+		s.Events++
+		s.idleBytes = 0
 	}
 }
