Placement: many routers that know little split the targets alike

Load pattern: 68 gateways exchange reports every 16 s and each sees 7 requests a second.

Cause, from the code and a replay: the split between targets for long prompts and for short streams follows the demand that a gateway knows, which was its own two or three requests and the reports of the last 2 s; so every gateway kept the least share for short streams, 15.6 of 78 targets, which have too few slots for them. And targets of equal cost kept the order of their hashes, so gateways that knew of no load all took the first one.

Now FleetDemand scales what a router knows (reports of the last 5 s, its own requests) to the number of routers, and Request.Seed orders targets of equal cost.

The replay's engines now have slots.

Conclusion: the split was the cause.

--- a/internal/connection/connector/connector.go
+++ b/internal/connection/connector/connector.go
@@ -116,6 +116,18 @@
 	return names
 }
 
+// LiveCount returns the number of members whose link is up.
+func (c *Connector) LiveCount() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.members {
+		if m.link != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // IncarnationUp reports whether a link to the given incarnation of a process is up.
 func (c *Connector) IncarnationUp(incarnation string) bool {
 	c.mu.Lock()
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -155,7 +156,7 @@
 func (q *request) shape(domain string) placer.Request {
 	shape := placer.Request{
 		PromptTokens: q.PromptTokens, UniqueTokens: q.PromptTokens, AffinityKey: q.affinityKey(), Engine: q.service.Engine != nil,
-		Domain: domain,
+		Domain: domain, Seed: rand.Uint64(),
 	}
 	if n := len(q.PromptParts); n > 0 {
 		shape.UniqueTokens = q.PromptParts[n-1].Tokens
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -115,6 +115,7 @@
 	heartbeats *spender.Heartbeater
 	allocator  *spender.Allocator
 	retries    *retrier.Budget
+	startedAt  time.Time
 	// enrolledAt is when this process's row was written to the members table.
 	enrolledAt atomic.Pointer[time.Time]
 	metrics    *metrics
@@ -164,7 +165,7 @@
 // server fails before that.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.targets = registrar.New()
-	g.tracker = newTargetTracker()
+	g.tracker = newTargetTracker(func() int { return g.peers.routers.LiveCount() })
 	g.rowCache = newRowCache()
 	g.pool = &exchanger.Pool{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections}
 	g.SetLimits(g.Limits)
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -80,6 +80,9 @@
 // targetTracker tracks the load and health of all targets, from this router's own
 // requests and from the reports of its peers.
 type targetTracker struct {
+	// others returns the number of other routers.
+	others func() int
+
 	mu        sync.Mutex // guards all below
 	targets   map[string]*targetState
 	services  map[string]*serviceState
@@ -114,11 +117,18 @@
 	targets    map[string]framer.TargetLoad
 }
 
-// peerLoadLifetime is the age from which a peer's report is ignored.
-const peerLoadLifetime = 2 * time.Second
+const (
+	// peerLoadLifetime is the age from which a peer's report of its load on a target is
+	// ignored. Its part in the fleet's demand changes more slowly; but demandLifetime must not
+	// be so long that reports from before a burst hide it.
+	peerLoadLifetime = 2 * time.Second
+	demandLifetime   = 5 * time.Second
+)
 
-func newTargetTracker() *targetTracker {
+// newTargetTracker returns a tracker; others returns the number of other routers.
+func newTargetTracker(others func() int) *targetTracker {
 	return &targetTracker{
+		others:  others,
 		targets: make(map[string]*targetState), services: make(map[string]*serviceState), peerLoads: make(map[string]peerLoads),
 		suspectEnded: make(chan struct{}),
 	}
@@ -172,25 +182,50 @@
 	return sum
 }
 
+// reportedDemand sums up the running requests that other routers have reported at the given
+// targets, and returns the number of these routers; t.mu must be held.
+func (t *targetTracker) reportedDemand(entries []registrar.Entry, now time.Time) (sum placer.Demand, routers int) {
+	inService := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		inService[e.ID] = true
+	}
+	for _, p := range t.peerLoads {
+		if now.Sub(p.receivedAt) > demandLifetime {
+			continue
+		}
+		routers++
+		for id, load := range p.targets {
+			if inService[id] {
+				sum.Short += load.ShortRequests
+				sum.Long += load.LongRequests
+			}
+		}
+	}
+	return sum, routers
+}
+
 // plan returns the targets in the order in which a request should be offered to them.
 func (t *targetTracker) plan(service string, shape placer.Request, entries []registrar.Entry, now time.Time) []placer.Choice {
+	others := t.others()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	targets := make([]placer.Target, len(entries))
 	slots := 1
-	var demand placer.Demand
+	var own placer.Demand
 	mean := t.meanSecondsPerToken(entries)
 	for i, e := range entries {
 		s, peers := t.target(e.ID), t.peerLoad(e.ID, now)
 		slots = e.Slots
-		demand.Short += s.short + peers.ShortRequests
-		demand.Long += s.long + peers.LongRequests
+		own.Short += s.short
+		own.Long += s.long
 		targets[i] = placer.Target{
 			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, PendingTokens: s.pendingTokens + peers.PendingTokens,
 			Running: s.short + s.long + peers.ShortRequests + peers.LongRequests, Ejected: s.health.Ejected(now),
 			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean), Suspects: s.suspects + peers.Suspects,
 		}
 	}
+	reported, known := t.reportedDemand(entries, now)
+	demand := placer.FleetDemand(own, reported, known, others)
 	split := placer.PoolSplit{ShortTargets: t.shortTargets(service, demand, len(entries), slots, now)}
 	return placer.Plan(shape, targets, split)
 }
--- a/internal/process/gateway/tracker_test.go
+++ b/internal/process/gateway/tracker_test.go
@@ -14,7 +14,7 @@
 // extended the ejection, it would stay out for four seconds.
 func TestFailuresOfOneCrashCountOnce(t *testing.T) {
 	const minEjection = 500 * time.Millisecond
-	tracker := newTargetTracker()
+	tracker := newTargetTracker(func() int { return 0 })
 	now := time.Unix(1000, 0)
 	for range 30 {
 		assert.Assert(t, tracker.recordLoss("i-1", now) <= minEjection)
@@ -28,7 +28,7 @@
 // TestRemovedTargetsArePruned checks that the state of a removed target is dropped,
 // but not while a request is in flight there.
 func TestRemovedTargetsArePruned(t *testing.T) {
-	tracker := newTargetTracker()
+	tracker := newTargetTracker(func() int { return 0 })
 	shape := placer.Request{PromptTokens: 10, UniqueTokens: 10, Engine: true}
 	inFlight, _ := tracker.begin("i-1", shape, false, time.Unix(1000, 0))
 	other, _ := tracker.begin("i-2", shape, false, time.Unix(1000, 0))
@@ -44,7 +44,7 @@
 // TestSuspectsRunApart checks that a suspect begins at a target only once this router's
 // other suspects there have ended, and that other requests don't wait for them.
 func TestSuspectsRunApart(t *testing.T) {
-	tracker, now := newTargetTracker(), time.Unix(1000, 0)
+	tracker, now := newTargetTracker(func() int { return 0 }), time.Unix(1000, 0)
 	suspect := placer.Request{Suspect: true}
 	first, _ := tracker.begin("i-1", suspect, true, now)
 	refused, ended := tracker.begin("i-1", suspect, true, now)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -1,7 +1,7 @@
 // Package placer ranks the targets that a gateway can send a request to.
 //
 // Plan is a pure function of the request's token counts and of what one router
-// knows about each target. It handles four load patterns:
+// knows about each target. It handles these load patterns:
 //
 //   - Long prompts beside short streams. Prefill delays every stream of the same
 //     batch, so long prompts are confined to a subset of the targets. The subset
@@ -14,6 +14,8 @@
 //     have the same preferred target, where those parts count as cached. On other
 //     targets they count as tokens to prefill, so a request leaves its preferred
 //     target only if waiting there would take longer.
+//   - Many routers that know little of each other's requests. Many targets look equally
+//     loaded to each router, so requests are spread over these at random.
 //   - Plain services. The least loaded target takes the request; among equally
 //     loaded ones, a target in the router's own failure domain.
 //   - Requests that may crash their target. Suspects are kept apart from each other, so
@@ -74,6 +76,9 @@
 	SharedTokens int64
 	// AffinityKey is the hash of the shared parts of the prompt.
 	AffinityKey uint64
+	// Seed orders targets of the same cost. It differs between requests: routers that know of
+	// no load would all choose the same target otherwise.
+	Seed uint64
 	// Engine is set for a request to a model engine.
 	Engine bool
 	// Suspect is set for a request that was running at a target that crashed.
@@ -144,6 +149,18 @@
 	Long  int
 }
 
+// FleetDemand estimates the demand of a fleet from that of this router and the reports of
+// others. In a large fleet reports are rare: known is the number of others whose report is not
+// too old, others the number of all. Those that have not reported count like the rest; so
+// all routers split the targets alike, however little each of them sees.
+func FleetDemand(own, reported Demand, known, others int) Demand {
+	scale := float64(others+1) / float64(min(known, others)+1)
+	return Demand{
+		Short: int(math.Round(float64(own.Short+reported.Short) * scale)),
+		Long:  int(math.Round(float64(own.Long+reported.Long) * scale)),
+	}
+}
+
 // ShortTargets returns how many of the targets should serve short requests; 0 means
 // all of them. The result is not rounded, so that the caller can smooth it against
 // flapping.
@@ -230,7 +247,12 @@
 			Index: i, Wait: targets[i].waitTokens(r, isPreferred, 1), Cost: targets[i].waitTokens(r, isPreferred, sharedCostFactor), Preferred: isPreferred,
 		}
 	}
-	slices.SortStableFunc(order, func(a, b Choice) int { return cmp.Compare(a.Cost, b.Cost) })
+	slices.SortFunc(order, func(a, b Choice) int {
+		if c := cmp.Compare(a.Cost, b.Cost); c != 0 {
+			return c
+		}
+		return cmp.Compare(mix(r.Seed^targets[a.Index].Hash), mix(r.Seed^targets[b.Index].Hash))
+	})
 	return ejectedLast(order, targets)
 }
 
--- a/internal/request/placer/replay_test.go
+++ b/internal/request/placer/replay_test.go
@@ -81,17 +81,18 @@
 }
 
 // engine is a simulated target: in each batch step it prefills one chunk, oldest
-// prompt first, and generates a token for each running stream.
+// prompt first, if it has a free slot, and generates a token for each running stream.
 type engine struct {
 	now    float64
 	queue  []*simRequest
 	active []*simRequest
 	cached map[uint64]float64
+	slots  int
 }
 
 func (e *engine) step() float64 {
 	duration := stepMillis
-	if len(e.queue) > 0 {
+	if len(e.queue) > 0 && len(e.active) < e.slots {
 		r := e.queue[0]
 		chunk := min(r.prefillLeft, chunkTokens)
 		r.prefillLeft -= chunk
@@ -162,7 +163,7 @@
 	engines := make([]*engine, l.targets)
 	byTime := make(engineHeap, l.targets)
 	for i := range engines {
-		engines[i] = &engine{cached: make(map[uint64]float64)}
+		engines[i] = &engine{cached: make(map[uint64]float64), slots: l.slots}
 		byTime[i] = engines[i]
 	}
 	heap.Init(&byTime)
@@ -198,23 +199,31 @@
 		targets[i] = placer.Target{ID: fmt.Sprint(i), Hash: uint64(i+1) * 0x9E3779B97F4A7C15, Slots: l.slots}
 		targets[i].Cached = r.arrival-engines[i].cached[r.request.AffinityKey] < cacheLifetime && engines[i].cached[r.request.AffinityKey] > 0
 	}
-	var demand placer.Demand
+	var own, reported placer.Demand
 	for k := len(placed) - 1; k >= 0 && placed[k].arrival > r.arrival-10*secondsToMillis; k-- {
 		p := placed[k]
-		if p.eventsLeft <= 0 || (p.router != r.router && p.arrival > r.arrival-l.reportLagMillis) {
+		if p.eventsLeft <= 0 {
 			continue
 		}
-		targets[p.target].Running++
-		if p.firstEvent == 0 {
-			targets[p.target].PendingTokens += p.request.UniqueTokens
+		demand := &own
+		if p.router != r.router {
+			demand = &reported
 		}
 		if p.long {
 			demand.Long++
 		} else {
 			demand.Short++
 		}
+		if p.router != r.router && p.arrival > r.arrival-l.reportLagMillis {
+			continue
+		}
+		targets[p.target].Running++
+		if p.firstEvent == 0 {
+			targets[p.target].PendingTokens += p.request.UniqueTokens
+		}
 	}
-	r.target = pick(r, targets, demand)
+	// Old reports tell little of a single target, but they add up to the fleet's demand.
+	r.target = pick(r, targets, placer.FleetDemand(own, reported, l.routers-1, l.routers-1))
 	e := engines[r.target]
 	if !targets[r.target].Cached {
 		r.prefillLeft += float64(r.request.SharedTokens)
@@ -232,6 +241,7 @@
 			r := &simRequest{arrival: at, prefillLeft: uniqueTokens, eventsLeft: max(1, events*(0.3+random.ExpFloat64()*0.7)), long: long, router: random.IntN(l.routers)}
 			r.request = placer.Request{
 				PromptTokens: int64(uniqueTokens + sharedTokens), UniqueTokens: int64(uniqueTokens), SharedTokens: int64(sharedTokens), Engine: true,
+				Seed:        random.Uint64(),
 				AffinityKey: uint64(random.IntN(l.sessions)+1) * 0xBF58476D1CE4E5B9,
 			}
 			requests = append(requests, r)
