Tokens: two gateways hold an organisation's stock, the others borrow

Eleven seconds after the start everything was drawn and 8% spent; the largest of the listed lenders had less than the request needed.

Ruled out: exhausted budgets (9 of 1,039); the store (it replied, rows were 0.1 to 1.5 s old).

Now two gateways by rendezvous hashing hold an organisation's stock (Allocator.StockRank) and others borrow from them first; a gateway that expects fewer than five requests of the organisation within the horizon is sparse: it holds nothing for later, and its row is deleted.

--- a/internal/process/gateway/borrow.go
+++ b/internal/process/gateway/borrow.go
@@ -21,14 +21,18 @@
 	repayInterval = 500 * time.Millisecond
 )
 
-// borrow reserves amount tokens of another router for a request and reports whether
+// lenders returns the routers that may have tokens of an organisation to spare.
+func (g *Gateway) lenders(organisation string) []string {
+	if lenders := g.allocator.Lenders(organisation); len(lenders) > 0 {
+		return lenders
+	}
+	return g.peers.routers.Live() // a router that has just started knows no lenders yet
+}
+
+// borrow reserves amount tokens of one of the lenders for a request and reports whether
 // it succeeded.
-func (g *Gateway) borrow(ctx context.Context, q *request, organisation string, amount int64) bool {
+func (g *Gateway) borrow(ctx context.Context, q *request, organisation string, amount int64, lenders []string) bool {
 	voucher := g.Incarnation + "/" + q.ID
-	lenders := g.allocator.Lenders(organisation)
-	if len(lenders) == 0 {
-		lenders = g.peers.routers.Live() // a router that has just started knows no lenders yet
-	}
 	for i, name := range lenders {
 		if i == maxLenders {
 			break
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -164,6 +164,7 @@
 // Run serves until ctx ends and then shuts down gracefully. It returns an error if a
 // server fails before that.
 func (g *Gateway) Run(ctx context.Context) error {
+	g.startedAt = time.Now()
 	g.targets = registrar.New()
 	g.tracker = newTargetTracker(func() int { return g.peers.routers.LiveCount() })
 	g.rowCache = newRowCache()
@@ -188,6 +189,7 @@
 		HoldingKey: func(organisation string) string { return g.Schema.RowKey("holdings", g.Name, organisation) },
 		Horizon:    g.Limits.StockHorizon, Interval: settlementInterval, OnCommit: g.onBudgetCommit,
 		OnUnreadable: g.onRowUnreadable, OnRecovered: g.onHoldingRecovered, Heartbeats: g.heartbeats,
+		StockRank: g.stockRank,
 	}
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -260,6 +260,15 @@
 		return nil
 	}
 	g.allocator.RecordDemand(name, amount, q.startedAt)
+	if g.allocator.Borrows(name, q.startedAt) {
+		if g.allocator.ReserveHeld(name, amount) {
+			q.reserved = amount
+			return nil
+		}
+		if g.borrow(ctx, q, name, amount, g.stockHolders(name)) {
+			return nil
+		}
+	}
 	waitUntil := q.startedAt.Add(min(drawTimeout, q.deadline.Sub(q.startedAt)/3))
 	reservation := &spender.Reservation{Organisation: name, Limit: q.organisation.Budget, Amount: amount}
 	err := g.allocator.Reserve(reservation)
@@ -270,7 +279,7 @@
 		q.reserved = amount
 		return nil
 	}
-	if errors.Is(err, spender.ErrInsufficientHolding) && g.borrow(ctx, q, name, amount) {
+	if errors.Is(err, spender.ErrInsufficientHolding) && g.borrow(ctx, q, name, amount, g.lenders(name)) {
 		return nil
 	}
 	balance := g.allocator.Balance(name, time.Now())
--- a/internal/process/spender/allocator.go
+++ b/internal/process/spender/allocator.go
@@ -77,6 +77,11 @@
 	Heartbeats *Heartbeater
 	// Horizon is the time for which holdings should last.
 	Horizon time.Duration
+	// StockRank returns this router's rank among those that should hold an organisation's
+	// tokens. Routers whose rank is below StockHolders hold them also for others to borrow; the
+	// others hold them only if they have enough requests of their own. It must not block; nil
+	// means that every router holds tokens.
+	StockRank func(organisation string) int
 	// Interval is how often settlements are committed.
 	Interval time.Duration
 	// OnCommit is called after every commit with its outcome.
@@ -210,11 +215,34 @@
 	a.waiters = nil
 }
 
+// ReserveHeld reserves the worst-case cost of a request from what this router holds and reports
+// whether it could. Unlike Reserve it draws nothing.
+func (a *Allocator) ReserveHeld(organisation string, amount int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acct := a.account(organisation)
+	if a.free(organisation, acct) < amount {
+		return false
+	}
+	acct.reserved += amount
+	return true
+}
+
+// Borrows reports whether this router should borrow an organisation's tokens rather than draw
+// them.
+func (a *Allocator) Borrows(organisation string, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.account(organisation).sparse(a.Horizon, now)
+}
+
 // RecordDemand counts the tokens that a request asks for, whether or not they are reserved.
 func (a *Allocator) RecordDemand(organisation string, amount int64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.account(organisation).requested.add(amount, now)
+	acct := a.account(organisation)
+	acct.requested.add(amount, now)
+	acct.arrivals.add(1, now)
 }
 
 // Settle settles a reservation of amount tokens at its cost.
@@ -374,6 +402,10 @@
 	if !ok {
 		acct = &holdingAccount{
 			requested: meter{window: rateWindow}, cost: meter{window: rateWindow}, worstCase: meter{window: rateWindow},
+			arrivals: meter{window: arrivalWindow},
+		}
+		if a.StockRank != nil {
+			acct.stockRank = func() int { return a.StockRank(organisation) }
 		}
 		acct.limit, acct.limitKnown = a.limits[organisation]
 		if a.accounts == nil {
--- a/internal/process/spender/allocator_fleet_test.go
+++ b/internal/process/spender/allocator_fleet_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/egretroute/egretroute/internal/process/spender"
@@ -23,8 +24,21 @@
 	write          time.Duration
 	calls          func(bytes int)
 
-	mu    sync.Mutex // guards parts
+	mu    sync.Mutex // guards all below
 	parts map[string]*sync.Mutex
+	down  bool // no call is answered
+}
+
+func (s *bandwidthStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *bandwidthStore) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
 }
 
 func (s *bandwidthStore) CommitWithReceipt(ctx context.Context, c storer.Commit) (storer.Receipt, error) {
@@ -33,8 +47,16 @@
 		sent += len(w.Key) + len(w.Value)*4/3
 	}
 	s.calls(sent)
+	if s.isDown() {
+		hang(ctx)
+		return storer.Receipt{}, errors.Wrap(storer.ErrUnavailable, "down")
+	}
 	time.Sleep(2*time.Millisecond + s.transfer(sent))
-	part := s.part(c.Writes[0].Key)
+	key := "" // of a commit that only reads
+	if len(c.Writes) > 0 {
+		key = c.Writes[0].Key
+	}
+	part := s.part(key)
 	part.Lock()
 	time.Sleep(s.write)
 	receipt, err := s.Memory.CommitWithReceipt(ctx, c)
--- a/internal/process/spender/allocator_sim_test.go
+++ b/internal/process/spender/allocator_sim_test.go
@@ -105,6 +105,8 @@
 	next      int64
 	limit     int64
 	others    []*simRouter
+	stockRank func(organisation string) int
+	horizon   time.Duration
 }
 
 func (r *simRouter) start(ctx context.Context) {
@@ -118,10 +120,11 @@
 		CollectAllowances: func(build func(map[string]spender.Allowance)) { a.CollectAllowances(build) }, OnConfirmed: func() { a.HeartbeatConfirmed() },
 	}
 	a = &spender.Allocator{
-		Table: r.store, Router: r.name, Incarnation: incarnation, Heartbeats: h, Horizon: 10 * time.Second,
+		Table: r.store, Router: r.name, Incarnation: incarnation, Heartbeats: h, Horizon: r.horizon,
 		Interval:   time.Second,
 		BudgetKey:  func(organisation string) string { return "budgets/" + organisation },
 		HoldingKey: func(organisation string) string { return "holdings/" + r.name + "/" + organisation },
+		StockRank:  r.stockRank,
 	}
 	ctx, r.stop = context.WithCancel(ctx)
 	r.allocator, r.running = a, make(map[int64]int64)
@@ -175,7 +178,18 @@
 	}
 	allocator.RecordDemand("alpha", amount, time.Now())
 	reservation := &spender.Reservation{Organisation: "alpha", Limit: r.limit, Amount: amount}
-	err := allocator.Reserve(reservation)
+	voucher := fmt.Sprintf("%s/%d/%d", r.name, amount, time.Now().UnixNano())
+	var lender *spender.Allocator
+	held := false
+	if allocator.Borrows("alpha", time.Now()) {
+		if held = allocator.ReserveHeld("alpha", amount); !held {
+			lender = r.borrow(voucher, amount)
+		}
+	}
+	var err error
+	if !held && lender == nil {
+		err = allocator.Reserve(reservation)
+	}
 	for range 4 {
 		if !errors.Is(err, spender.ErrInsufficientHolding) {
 			break
@@ -190,8 +204,6 @@
 		}
 		err = allocator.Reserve(reservation)
 	}
-	var lender *spender.Allocator
-	voucher := fmt.Sprintf("%s/%d/%d", r.name, amount, time.Now().UnixNano())
 	if errors.Is(err, spender.ErrInsufficientHolding) {
 		if lender = r.borrow(voucher, amount); lender != nil {
 			err = nil
@@ -274,7 +286,11 @@
 	limit = int64(1_500_000)
 	var routers []*simRouter
 	for i := range 4 {
-		r := &simRouter{name: fmt.Sprintf("router-%d", i), store: store, usage: total, limit: limit}
+		r := &simRouter{name: fmt.Sprintf("router-%d", i), store: store, usage: total, limit: limit, horizon: 10 * time.Second}
+		if seed%2 == 1 { // other routers hold the stocks every few seconds, and the rest is sparse
+			r.horizon = 300 * time.Millisecond
+			r.stockRank = func(string) int { return (i + int(time.Since(began)/(7*time.Second))) % 4 }
+		}
 		r.start(ctx)
 		routers = append(routers, r)
 	}
@@ -374,7 +390,7 @@
 	total := &usage{}
 	var routers []*simRouter
 	for i := range 3 {
-		r := &simRouter{name: fmt.Sprintf("router-%d", i), store: store, usage: total, limit: 10_000_000}
+		r := &simRouter{name: fmt.Sprintf("router-%d", i), store: store, usage: total, limit: 10_000_000, horizon: 10 * time.Second}
 		r.start(ctx)
 		routers = append(routers, r)
 	}
@@ -432,7 +448,7 @@
 		store := &faultyStore{Memory: storer.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
 		store.Now = func() time.Duration { return time.Since(began) }
 		ctx, cancel := context.WithCancel(context.Background())
-		r := &simRouter{name: "router-1", store: store, usage: &usage{}, limit: 20_000}
+		r := &simRouter{name: "router-1", store: store, usage: &usage{}, limit: 20_000, horizon: 10 * time.Second}
 		r.start(ctx)
 		for range 40 {
 			time.Sleep(50 * time.Millisecond)
--- a/internal/process/spender/holding.go
+++ b/internal/process/spender/holding.go
@@ -180,6 +180,13 @@
 	// keep; the rest stays at the platform for routers that need it when the budget runs
 	// out.
 	maxShareFraction = 0.5
+	// StockHolders is how many routers hold tokens of an organisation whatever their own
+	// demand, so that others can borrow them: two, since one may be down.
+	StockHolders = 2
+	// minStockRequests is the number of requests within the horizon from which any other
+	// router holds tokens for them, and arrivalWindow the time over which they are counted.
+	minStockRequests = 5
+	arrivalWindow    = 10 * time.Second
 	// drawFactor is the fraction of its wanted size below which a holding is refilled.
 	drawFactor = 0.8
 )
@@ -207,6 +214,9 @@
 	SpendRate float64
 	// Horizon is the time for which a holding should last.
 	Horizon time.Duration
+	// Sparse is set if this holder expects too few requests within the horizon to keep
+	// tokens for them; see Allocator.StockRank.
+	Sparse bool
 }
 
 // AllowanceGrowth returns the growth of a holding's allowance, in tokens per second; a
@@ -227,11 +237,17 @@
 // During a partition a holder has only its holding to spend, and no other router can use
 // what it holds. So it holds its demand over the horizon, but never more than a fraction
 // of its share, by demand, of the unspent budget, which shrinks as the budget runs out.
+//
+// In a fleet of many holders, what each request leaves behind would add up to the whole budget,
+// in parts that are smaller than a request. So a sparse holder holds nothing for later requests.
 func WantedHolding(v HoldingView) int64 {
 	pool := v.Limit - v.Spent - v.Reserved
 	if pool <= 0 {
 		return v.Reserved
 	}
+	if v.Sparse {
+		return v.Reserved + v.Unmet
+	}
 	share := 1.0 / float64(v.Others+1)
 	if v.Rate+v.OthersRate > 0 {
 		share = evenShare*share + (1-evenShare)*v.Rate/(v.Rate+v.OthersRate)
@@ -318,6 +334,9 @@
 	requested meter
 	cost      meter
 	worstCase meter
+	// arrivals counts requests; stockRank is Allocator.StockRank for the organisation.
+	arrivals  meter
+	stockRank func() int
 	// lastCommit is the number of the newest commit; pending is the commit whose outcome is
 	// unknown. It is sent again unchanged until the outcome is known; its condition lets it
 	// take effect only once.
@@ -378,13 +397,18 @@
 	return requested * min(a.cost.rate(now)/worstCase, 1)
 }
 
+// sparse reports whether the holder should leave the organisation's tokens to others.
+func (a *holdingAccount) sparse(horizon time.Duration, now time.Time) bool {
+	return a.stockRank != nil && a.arrivals.rate(now)*horizon.Seconds() < minStockRequests && a.stockRank() >= StockHolders
+}
+
 // view returns the state that decides the change of the holding.
 func (a *holdingAccount) view(horizon time.Duration, now time.Time) HoldingView {
 	v := HoldingView{
 		Limit: a.limit, Spent: a.budget.Spent + a.held.Unpublished + a.spent, Held: a.held.Held - a.spent, Reserved: a.reserved, Unmet: a.unmet,
 		OthersHeld: a.budget.Granted - a.budget.Spent - a.held.Unpublished - a.held.Held,
 		OthersRate: float64(a.budget.Rate - a.held.PublishedRate), OthersReserved: a.budget.Reserved - a.held.PublishedReserved,
-		Others: a.budget.Holders, Rate: a.rate(now), SpendRate: a.cost.rate(now), Horizon: horizon,
+		Others: a.budget.Holders, Rate: a.rate(now), SpendRate: a.cost.rate(now), Horizon: horizon, Sparse: a.sparse(horizon, now),
 	}
 	if a.heldVersion != 0 {
 		v.Others--
--- a/internal/process/spender/holdingcommit.go
+++ b/internal/process/spender/holdingcommit.go
@@ -202,7 +202,7 @@
 		acct.resolveUnmet(acct.unmet) // nothing can be drawn now
 	}
 	p := &holdingPlan{
-		commit: acct.lastCommit + 1, settle: acct.spent, unmet: acct.unmet, deletes: closing && v.Held+change == 0,
+		commit: acct.lastCommit + 1, settle: acct.spent, unmet: acct.unmet, deletes: v.Held+change == 0 && (closing || (v.Sparse && acct.reserved == 0)),
 		held: a.nextHolding(acct, v, change),
 	}
 	holds := acct.heldVersion != 0 || acct.spent > 0
--- a/internal/process/spender/lending.go
+++ b/internal/process/spender/lending.go
@@ -22,8 +22,21 @@
 	if _, ok := a.loans[voucher]; ok {
 		return true
 	}
-	acct, ok := a.accounts[organisation]
-	if !ok || amount <= 0 || a.closing || acct.inherited || acct.exceedsHolding(amount) {
+	if _, known := a.limits[organisation]; !known || amount <= 0 || a.closing {
+		return false
+	}
+	acct := a.account(organisation)
+	if a.StockRank != nil && acct.stockRank() < StockHolders {
+		// Demand that reaches this router by way of others.
+		acct.requested.add(amount, now)
+		acct.arrivals.add(1, now)
+	}
+	if acct.inherited || acct.exceedsHolding(amount) {
+		if a.StockRank != nil && acct.stockRank() < StockHolders && acct.view(a.Horizon, now).undrawn() >= amount {
+			acct.unmet += amount
+			acct.changed = true
+			a.wake()
+		}
 		return false
 	}
 	if a.free(organisation, acct) < amount {
--- a/internal/process/spender/lending_test.go
+++ b/internal/process/spender/lending_test.go
@@ -20,7 +20,7 @@
 		store := &faultyStore{Memory: storer.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
 		store.Now = func() time.Duration { return time.Since(began) }
 		ctx, cancel := context.WithCancel(context.Background())
-		r := &simRouter{name: "router-1", store: store, usage: &usage{}, limit: 100_000}
+		r := &simRouter{name: "router-1", store: store, usage: &usage{}, limit: 100_000, horizon: 10 * time.Second}
 		r.start(ctx)
 		time.Sleep(3 * time.Second)
 		lend := func(voucher string, amount int64) bool {
