Loans: a silent lender is not asked again at once, an empty one refuses at once

By reading: a link to a frozen or cut host counts as up until 16 s (the time between two reports of 68 gateways) and more have passed, and each request of an organisation whose tokens that host holds would wait 150 ms for it. Now a lender that has not answered is left out for 2 s. A lender that can't lend because nothing is left to draw made the borrower wait for its next commit, up to 75 ms; it waits only if that commit may help (MayLend).

--- a/internal/process/gateway/borrow.go
+++ b/internal/process/gateway/borrow.go
@@ -15,6 +15,9 @@
 	// lendTimeout bounds one Reserve call to a lender: many times a round trip
 	// between domains.
 	lendTimeout = 150 * time.Millisecond
+	// lenderPause is how long a lender that did not answer is not asked: its host may be frozen
+	// or cut off long before the link to it counts as down.
+	lenderPause = 2 * time.Second
 	// repayAttempts and repayInterval bound the retries of reporting a loan's cost to
 	// the lender, which counts a loan that is never reported as spent in full.
 	repayAttempts = 5
@@ -33,10 +36,15 @@
 // it succeeded.
 func (g *Gateway) borrow(ctx context.Context, q *request, organisation string, amount int64, lenders []string) bool {
 	voucher := g.Incarnation + "/" + q.ID
-	for i, name := range lenders {
-		if i == maxLenders {
+	asked := 0
+	for _, name := range lenders {
+		if asked == maxLenders {
 			break
 		}
+		if g.peers.isSilent(name, time.Now()) {
+			continue
+		}
+		asked++
 		link := g.peers.routers.Link(name)
 		if link == nil {
 			continue
@@ -51,6 +59,7 @@
 			return true
 		}
 		if err != nil {
+			g.peers.markSilent(name, time.Now())
 			// The lender may have reserved the tokens; the report releases them.
 			go g.repay(name, voucher, 0)
 		}
@@ -80,7 +89,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lendTimeout)
 	defer cancel()
 	lent := g.allocator.Lend(m.Voucher, m.Organisation, m.Amount, time.Now())
-	if !lent && g.waitForDraw(ctx, time.Now().Add(lendTimeout/2)) {
+	if !lent && g.allocator.MayLend(m.Organisation, m.Amount, time.Now()) && g.waitForDraw(ctx, time.Now().Add(lendTimeout/2)) {
 		lent = g.allocator.Lend(m.Voucher, m.Organisation, m.Amount, time.Now())
 	}
 	if lent {
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -45,8 +45,10 @@
 	routers    *connector.Connector
 	companions *connector.Connector
 
-	mu      sync.Mutex // guards members
+	mu      sync.Mutex // guards all below
 	members map[string]enroller.Member
+	// silentSince holds when a peer last left a request for a loan unanswered.
+	silentSince map[string]time.Time
 }
 
 // newPeerLinks returns peerLinks that opens no link before a member is known.
@@ -56,7 +58,7 @@
 		logger.PeerLinked.Log(g.Log, "peer", name, "incarnation", link.Peer.Incarnation)
 	}
 	return &peerLinks{
-		members: make(map[string]enroller.Member),
+		members: make(map[string]enroller.Member), silentSince: make(map[string]time.Time),
 		routers: &connector.Connector{
 			Self: self, Secret: g.Secret, Interval: reportInterval, BytesPerSecond: reportBytesPerSecond, Heartbeat: g.exchangeReports,
 			OnUp: up,
@@ -87,6 +89,25 @@
 	return out
 }
 
+// markSilent records that a peer left a request for a loan unanswered.
+func (p *peerLinks) markSilent(name string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silentSince[name] = now
+}
+
+// isSilent reports whether a peer has left a request for a loan unanswered within lenderPause.
+func (p *peerLinks) isSilent(name string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since, ok := p.silentSince[name]
+	if ok && now.Sub(since) >= lenderPause {
+		delete(p.silentSince, name)
+		return false
+	}
+	return ok
+}
+
 // routerCount returns the number of routers that have ever enrolled, as far as this one
 // knows. It doesn't fall while routers can't reach each other.
 func (p *peerLinks) routerCount() float64 {
--- a/internal/process/spender/lending.go
+++ b/internal/process/spender/lending.go
@@ -53,6 +53,18 @@
 	return true
 }
 
+// MayLend reports whether a loan that Lend has refused may be granted after the next commit or
+// heartbeat.
+func (a *Allocator) MayLend(organisation string, amount int64, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acct, ok := a.accounts[organisation]
+	if !ok || a.closing {
+		return false
+	}
+	return acct.inherited || !acct.exceedsHolding(amount) || (acct.unmet > 0 && acct.view(a.Horizon, now).undrawn() >= amount)
+}
+
 // Repay settles a loan at the cost of its request; an unknown voucher is ignored.
 func (a *Allocator) Repay(voucher string, cost int64, now time.Time) {
 	a.mu.Lock()
