--- a/internal/process/spender/stock_test.go
+++ b/internal/process/spender/stock_test.go
@@ -18,7 +18,7 @@
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
 
-// stockLoad is a load pattern from testdata/stocks.txt.
+// stockLoad is a load pattern from testdata/stocks.txt or outages.txt.
 type stockLoad struct {
 	name string
 	// routers serve organisations that send rate requests per second each. A request reserves
@@ -35,9 +35,9 @@
 	maxRefused float64
 }
 
-func readStockLoads(t *testing.T) (loads []stockLoad) {
+func readStockLoads(t *testing.T, path string) (loads []stockLoad) {
 	t.Helper()
-	f, err := os.Open("testdata/stocks.txt")
+	f, err := os.Open(path)
 	assert.NilError(t, err)
 	defer f.Close()
 	for lines := bufio.NewScanner(f); lines.Scan(); {
@@ -69,8 +69,15 @@
 // TestManyRoutersHoldEachBudget replays the loads of testdata/stocks.txt in model time. It guards
 // against budgets that lie in parts too small for a request at routers that seldom see the
 // organisation.
-func TestManyRoutersHoldEachBudget(t *testing.T) {
-	for _, l := range readStockLoads(t) {
+func TestManyRoutersHoldEachBudget(t *testing.T) { checkStocks(t, "testdata/stocks.txt") }
+
+// TestBudgetsDuringAnOutage replays loads during which the store is away: the holders have tokens,
+// but may not reserve them, since a heartbeat can't raise their allowances.
+func TestBudgetsDuringAnOutage(t *testing.T) { checkStocks(t, "testdata/outages.txt") }
+
+func checkStocks(t *testing.T, path string) {
+	t.Helper()
+	for _, l := range readStockLoads(t, path) {
 		t.Run(l.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := replayStocks(l)
