--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -261,6 +261,7 @@
 	}
 	g.allocator.RecordDemand(name, amount, q.startedAt)
 	if g.allocator.Borrows(name, q.startedAt) {
+		// A draw would leave tokens here that this router's next request may need much later.
 		if g.allocator.ReserveHeld(name, amount) {
 			q.reserved = amount
 			return nil
--- a/internal/process/spender/holding.go
+++ b/internal/process/spender/holding.go
@@ -397,9 +397,14 @@
 	return requested * min(a.cost.rate(now)/worstCase, 1)
 }
 
+// holdsForOthers reports whether other routers borrow the organisation's tokens from this one.
+func (a *holdingAccount) holdsForOthers() bool {
+	return a.stockRank != nil && a.stockRank() < StockHolders
+}
+
 // sparse reports whether the holder should leave the organisation's tokens to others.
 func (a *holdingAccount) sparse(horizon time.Duration, now time.Time) bool {
-	return a.stockRank != nil && a.arrivals.rate(now)*horizon.Seconds() < minStockRequests && a.stockRank() >= StockHolders
+	return a.stockRank != nil && a.arrivals.rate(now)*horizon.Seconds() < minStockRequests && !a.holdsForOthers()
 }
 
 // view returns the state that decides the change of the holding.
--- a/internal/process/spender/lending.go
+++ b/internal/process/spender/lending.go
@@ -26,13 +26,13 @@
 		return false
 	}
 	acct := a.account(organisation)
-	if a.StockRank != nil && acct.stockRank() < StockHolders {
+	if acct.holdsForOthers() {
 		// Demand that reaches this router by way of others.
 		acct.requested.add(amount, now)
 		acct.arrivals.add(1, now)
 	}
 	if acct.inherited || acct.exceedsHolding(amount) {
-		if a.StockRank != nil && acct.stockRank() < StockHolders && acct.view(a.Horizon, now).undrawn() >= amount {
+		if acct.holdsForOthers() && acct.view(a.Horizon, now).undrawn() >= amount {
 			acct.unmet += amount
 			acct.changed = true
 			a.wake()
