Targets that say that they leave, or for how long they want nothing

What callers saw: requests went on to targets that had said, in the header of an answer, that they leave, and to targets that had refused with 503 and a Retry-After; such requests are cut off or refused again.

Cause: the gateway read neither header. What it knew of a target was spread over the target's entry, an ejection, loads by peer and crashes by request.

Change: package request/assessor holds what a router knows of one start of a target (leaving, pause, crash, health, load), each fact with its start, its source and when it was learned, and decides: open, paused until, leaving, last resort. Routers report it to each other with their loads. A pause binds the router that was told; others use the target last. A request without a target left is refused at once, with the end of the earliest pause as Retry-After. A target that has said that it leaves is not taken for a crashed one when it ends.

Ruled out: using leaving targets within drain-ms where no other is left: a target that leaves may close the connection under the request.

--- a/internal/connection/framer/fuzz_test.go
+++ b/internal/connection/framer/fuzz_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/request/assessor"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
@@ -56,7 +57,10 @@
 			Rows: []framer.RowValue{{Key: "a//b", Version: 3, Value: []byte("v")}, {Key: "a//c", Version: 4, Deleted: true}},
 		},
 		&framer.PeerReport{
-			Incarnation: "r@1", Loads: []framer.TargetLoad{{Target: "t", PendingTokens: 7, ShortRequests: 1, LongRequests: 2, Suspects: 3}}, Crashes: crashes,
+			Incarnation: "r@1", Targets: []assessor.Report{{
+				Target: "t", Start: time.UnixMilli(1700000000123), Load: assessor.Load{PendingTokens: 7, ShortRequests: 1, LongRequests: 2, Suspects: 3},
+				Leaving: true, PauseLeft: 1500 * time.Millisecond, Crashed: true, CrashAge: 20 * time.Millisecond,
+			}, {Target: "u"}}, Crashes: crashes,
 		},
 		&framer.FetchRowCache{},
 		&framer.RowCache{
--- a/internal/connection/framer/store.go
+++ b/internal/connection/framer/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/egretroute/egretroute/internal/connection/framer/wire"
+	"github.com/egretroute/egretroute/internal/request/assessor"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
@@ -71,23 +72,11 @@
 	Error string
 }
 
-// TargetLoad is the load that one router has placed on a target.
-type TargetLoad struct {
-	Target string
-	// PendingTokens is the number of tokens left to prefill; ShortRequests and
-	// LongRequests are the numbers of running requests by kind.
-	PendingTokens int64
-	ShortRequests int
-	LongRequests  int
-	// Suspects is the number of them that are suspected of a crash.
-	Suspects int
-}
-
-// PeerReport tells another router the load that this one has placed on targets, and the
-// crashes that it has seen.
+// PeerReport tells another router what this one knows of targets, and the requests that
+// were running at targets that crashed.
 type PeerReport struct {
 	Incarnation string
-	Loads       []TargetLoad
+	Targets     []assessor.Report
 	Crashes     suspecter.Message
 }
 
@@ -131,10 +120,7 @@
 	case *PeerReport:
 		return &wire.Frame{Body: &wire.Frame_PeerReport{PeerReport: &wire.PeerReport{
 			Incarnation: m.Incarnation,
-			Loads: mapAll(m.Loads, func(l TargetLoad) *wire.TargetLoad {
-				return &wire.TargetLoad{Target: l.Target, Pending: l.PendingTokens, Short: int32(l.ShortRequests), Long: int32(l.LongRequests), Suspects: int32(l.Suspects)}
-			}),
-			Crashes: encodeCrashes(m.Crashes),
+			Targets:     mapAll(m.Targets, encodeReport), Crashes: encodeCrashes(m.Crashes),
 		}}}
 	case *FetchRowCache:
 		return &wire.Frame{Body: &wire.Frame_FetchKnown{FetchKnown: &wire.FetchKnown{}}}
@@ -175,10 +161,7 @@
 		r := b.PeerReport
 		return &PeerReport{
 			Incarnation: r.GetIncarnation(),
-			Loads: mapAll(r.GetLoads(), func(l *wire.TargetLoad) TargetLoad {
-				return TargetLoad{Target: l.GetTarget(), PendingTokens: l.GetPending(), ShortRequests: int(l.GetShort()), LongRequests: int(l.GetLong()), Suspects: int(l.GetSuspects())}
-			}),
-			Crashes: decodeCrashes(r.GetCrashes()),
+			Targets:     mapAll(r.GetTargets(), decodeReport), Crashes: decodeCrashes(r.GetCrashes()),
 		}
 	case *wire.Frame_FetchKnown:
 		return &FetchRowCache{}
@@ -199,3 +182,28 @@
 func decodeRow(r *wire.RowValue) RowValue {
 	return RowValue{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted()}
 }
+
+func encodeReport(r assessor.Report) *wire.TargetReport {
+	w := &wire.TargetReport{
+		Target: r.Target, Pending: r.Load.PendingTokens, Short: int32(r.Load.ShortRequests), Long: int32(r.Load.LongRequests), Suspects: int32(r.Load.Suspects),
+		Leaving: r.Leaving, PauseMillis: r.PauseLeft.Milliseconds(), Crashed: r.Crashed, CrashAgeMillis: r.CrashAge.Milliseconds(),
+	}
+	if !r.Start.IsZero() {
+		w.StartMillis = r.Start.UnixMilli()
+	}
+	return w
+}
+
+func decodeReport(w *wire.TargetReport) assessor.Report {
+	r := assessor.Report{
+		Target: w.GetTarget(), Load: assessor.Load{
+			PendingTokens: w.GetPending(), ShortRequests: int(w.GetShort()), LongRequests: int(w.GetLong()), Suspects: int(w.GetSuspects()),
+		},
+		Leaving: w.GetLeaving(), PauseLeft: time.Duration(w.GetPauseMillis()) * time.Millisecond,
+		Crashed: w.GetCrashed(), CrashAge: time.Duration(w.GetCrashAgeMillis()) * time.Millisecond,
+	}
+	if w.GetStartMillis() != 0 {
+		r.Start = time.UnixMilli(w.GetStartMillis())
+	}
+	return r
+}
--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -46,7 +46,7 @@
 // hasCrashed reports whether a target that broke a connection off has crashed: nothing
 // listens at its address any more, although it has not announced that it leaves.
 func (g *Gateway) hasCrashed(ctx context.Context, target registrar.Entry) bool {
-	if !g.targets.Serving(target) {
+	if !g.targets.Serving(target) || g.tracker.isLeaving(target, time.Now()) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -81,6 +81,7 @@
 
 // recordCrash records that a target crashed while it ran a request.
 func (g *Gateway) recordCrash(id string, target registrar.Entry, crash suspecter.Observation) {
+	g.tracker.recordCrash(target, crash.At)
 	verdict := g.suspects.Observe(crash).String()
 	g.metrics.crashes.WithLabelValues(verdict).Inc()
 	logger.TargetCrashedUnderRequest.Log(g.Log, "request", id, "digest", crash.Digest, "target", target.ID, "run", crash.Run,
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -182,7 +182,7 @@
 	for _, e := range g.targets.All() {
 		listed[e.ID] = true
 	}
-	g.tracker.prune(listed)
+	g.tracker.prune(listed, time.Now())
 }
 
 func (g *Gateway) putTarget(e registrar.Entry) {
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -97,14 +97,14 @@
 			return registrar.Entry{}, ref
 		}
 		shape.Suspect = q.verdict != suspecter.Innocent
-		target, ok := g.nextTarget(q, shape, now)
+		target, closed, ok := g.nextTarget(q, shape, now)
 		if !ok {
-			return target, noTargetLeft(q, noTargetRetryAfter)
+			return target, g.refuseWithoutTarget(q, closed, now)
 		}
 		if ref := g.refuseIfTooLate(q, out, shape, target, now); ref != nil {
 			return target, ref
 		}
-		inFlight, suspectEnded := g.tracker.begin(target.ID, shape, shape.Suspect && now.Before(isolateUntil), now)
+		inFlight, suspectEnded := g.tracker.begin(target, shape, shape.Suspect && now.Before(isolateUntil), now)
 		if inFlight != nil {
 			q.triedRuns[runOf(target)], q.targetID, q.inFlight = true, target.ID, inFlight
 			q.targetStart = g.suspects.Start(runOf(target))
@@ -167,16 +167,31 @@
 	return shape
 }
 
-// nextTarget returns the best target that was not tried yet, if any.
-func (g *Gateway) nextTarget(q *request, shape placer.Request, now time.Time) (registrar.Entry, bool) {
-	entries := g.targets.Service(q.service.Name, now)
+// nextTarget returns the best target that was not tried yet, if any, and the targets of the
+// service that take no requests from this router.
+func (g *Gateway) nextTarget(q *request, shape placer.Request, now time.Time) (registrar.Entry, closedTargets, bool) {
+	entries, closed := g.tracker.open(g.targets.Service(q.service.Name, now), now)
 	for _, c := range g.tracker.plan(q.service.Name, shape, entries, now) {
 		if e := entries[c.Index]; !q.triedRuns[runOf(e)] {
 			q.choice = c
-			return e, true
+			return e, closed, true
 		}
 	}
-	return registrar.Entry{}, false
+	return registrar.Entry{}, closed, false
+}
+
+// refuseWithoutTarget returns the refusal of a request for which no target is left. If
+// targets have asked for a pause, the client may return when the first of them is over.
+func (g *Gateway) refuseWithoutTarget(q *request, closed closedTargets, now time.Time) *refusal {
+	ref := noTargetLeft(q, noTargetRetryAfter)
+	if closed.paused == 0 {
+		return ref
+	}
+	ref.notBefore = closed.pausedUntil.Sub(now)
+	ref.retryAfter = ref.notBefore
+	logger.TargetsPaused.Log(g.Log, "request", q.ID, "service", q.service.Name, "paused", closed.paused, "leaving", closed.leaving,
+		"attempts", q.attempts, "notBefore", ref.notBefore)
+	return ref
 }
 
 // noTargetLeft returns the refusal of a request for which no further target may be
@@ -264,9 +279,10 @@
 func (g *Gateway) copyResponse(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
 	metadata := g.HeaderCodec.DecodeResponse(resp.Status, resp.Header)
 	q.status = resp.Status
+	g.recordWithdrawal(q, target, metadata)
 	if metadata.NotRun {
 		g.metrics.attempts.WithLabelValues("notRun").Inc()
-		logger.TargetRefused.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status, "revision", target.Revision)
+		logger.TargetRefused.Log(g.Log, "request", q.ID, "target", target.ID, "status", resp.Status, "revision", target.Revision, "pause", metadata.PauseFor)
 		if metadata.Misdirected {
 			g.targets.MarkMisdirected(target.ID, target.Revision)
 		}
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -96,12 +96,26 @@
 
 // refusal is a response that the gateway makes itself instead of a target.
 type refusal struct {
-	status          int
-	reason          string
-	retryAfter      time.Duration
+	status int
+	reason string
+	// retryAfter is about when the client should return; clients are spread around it.
+	retryAfter time.Duration
+	// notBefore, if not 0, is the time before which no target will take the request.
+	notBefore       time.Duration
 	closeConnection bool
 }
 
+// minReturnSpread is the least time over which clients return after notBefore.
+const minReturnSpread = 100 * time.Millisecond
+
+// retryDelay returns the delay to tell the client.
+func (r *refusal) retryDelay() time.Duration {
+	if r.notBefore > 0 {
+		return r.notBefore + rand.N(r.notBefore/4+minReturnSpread)
+	}
+	return jitter(r.retryAfter)
+}
+
 // serveRequest handles a client's request.
 func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
@@ -337,7 +351,7 @@
 	switch ref.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		q.outcome = outcomeNotRun
-		h.Set("Retry-After", formatSeconds(jitter(ref.retryAfter)))
+		h.Set("Retry-After", formatSeconds(ref.retryDelay()))
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
 		q.outcome = outcomeFailed
 	default:
--- a/internal/process/gateway/headercodec.go
+++ b/internal/process/gateway/headercodec.go
@@ -66,6 +66,10 @@
 	NotRun bool
 	// Misdirected is set if another target than ForwardMetadata.Target responded.
 	Misdirected bool
+	// Leaving is set if the target states that it leaves, and takes no more requests.
+	Leaving bool
+	// PauseFor is how long the target wants no more requests from this router, or zero.
+	PauseFor time.Duration
 }
 
 // HeaderCodec translates between HTTP headers and the gateway's metadata types.
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -17,6 +17,8 @@
 	attempts  *prometheus.CounterVec
 	commits   *prometheus.CounterVec
 	crashes   *prometheus.CounterVec
+	// withdrawals counts what targets have said of the requests after a response.
+	withdrawals *prometheus.CounterVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -37,9 +39,12 @@
 		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_crashed_requests_total", Help: "Requests whose target crashed while it ran them, by the verdict on them.",
 		}, []string{"verdict"}),
+		withdrawals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_target_withdrawals_total", Help: "Targets that say that they leave or want nothing for a time, by source.",
+		}, []string{"state", "source"}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes)
+		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals)
 	}
 	return m
 }
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/request/assessor"
 	"github.com/egretroute/egretroute/internal/request/retrier"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
@@ -139,7 +140,7 @@
 	return err
 }
 
-// exchangeReports sends this router's running requests and the crashes that it has seen
+// exchangeReports sends what this router knows of targets and the crashes that it has seen
 // to a peer and applies the peer's report from the reply.
 func (g *Gateway) exchangeReports(ctx context.Context, name string, link *linker.Link) error {
 	crashes := g.crashes.Request(link)
@@ -153,11 +154,13 @@
 }
 
 func (g *Gateway) report(crashes suspecter.Message) *framer.PeerReport {
-	return &framer.PeerReport{Incarnation: g.Incarnation, Loads: g.tracker.ownLoads(), Crashes: crashes}
+	return &framer.PeerReport{Incarnation: g.Incarnation, Targets: g.tracker.ownReports(time.Now()), Crashes: crashes}
 }
 
 func (g *Gateway) applyReport(name string, r *framer.PeerReport) {
-	g.tracker.setPeerLoads(name, r.Loads, time.Now())
+	for _, leaving := range g.tracker.setPeerReports(name, r.Targets, time.Now()) {
+		g.logLeaving(leaving.Target, leaving.Start, assessor.Peer, "peer", name)
+	}
 }
 
 // ServeStream implements linker.Handler.
@@ -249,7 +252,8 @@
 }
 
 // pushReports sends reports to peers as soon as a long request begins or ends, or a target
-// has crashed. Peers that don't know of a long request would place their own behind it.
+// has crashed, leaves or wants nothing. Peers that don't know of a long request would place
+// their own behind it.
 func (g *Gateway) pushReports(ctx context.Context) {
 	var inProgress sync.Map // names of peers with a push under way
 	for ctx.Err() == nil {
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/process/registrar"
+	"github.com/egretroute/egretroute/internal/request/assessor"
 	"github.com/egretroute/egretroute/internal/request/ejector"
 	"github.com/egretroute/egretroute/internal/request/placer"
 )
@@ -32,18 +32,13 @@
 	shortTargetsRate = 0.3
 )
 
-// targetState holds this router's requests at a target and its recent health.
+// targetState holds what this router knows of a target.
 type targetState struct {
-	// pendingTokens is the number of prompt tokens still to be prefilled.
-	pendingTokens int64
-	// short and long count running requests; those of plain services count as short.
-	short int
-	long  int
-	// suspects counts the running requests that are suspected of a crash.
-	suspects int
+	assessor.Target
+	// start is the newest start of the target that this router knows.
+	start time.Time
 	// abandoned are the requests that this router has canceled there lately.
 	abandoned []abandonedRequest
-	health    ejector.Health
 	prefixes  prefixCache
 	// secondsPerToken is the prefill time per token: a moving average of the time to
 	// the first token, divided by the tokens to prefill until then. samples counts the
@@ -90,8 +85,8 @@
 	running   int
 	// suspectEnded is closed and replaced when a suspect ends.
 	suspectEnded chan struct{}
-	// urgentChange is set when a long request begins or ends, or a target has crashed;
-	// peers are told of it before the next regular report.
+	// urgentChange is set when a long request begins or ends, a target has crashed, or it has
+	// said that it leaves or wants nothing; peers are told before the next regular report.
 	urgentChange bool
 }
 
@@ -114,7 +109,7 @@
 // peerLoads is another router's last report of its running requests, by target.
 type peerLoads struct {
 	receivedAt time.Time
-	targets    map[string]framer.TargetLoad
+	targets    map[string]assessor.Report
 }
 
 const (
@@ -134,28 +129,46 @@
 	}
 }
 
-// ownLoads returns this router's running requests by target, for its peers.
-func (t *targetTracker) ownLoads() []framer.TargetLoad {
+// maxReportedFacts bounds the targets without a running request in a report.
+const maxReportedFacts = 32
+
+// ownReports returns what this router tells its peers of targets.
+func (t *targetTracker) ownReports(now time.Time) []assessor.Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []framer.TargetLoad
+	var out []assessor.Report
+	facts := 0
 	for id, s := range t.targets {
-		if s.short+s.long > 0 {
-			out = append(out, framer.TargetLoad{Target: id, PendingTokens: s.pendingTokens, ShortRequests: s.short, LongRequests: s.long, Suspects: s.suspects})
+		r := s.Report(id, s.start, now)
+		if r.Empty() {
+			continue
+		}
+		if r.Load.Running() == 0 {
+			if facts++; facts > maxReportedFacts {
+				continue
+			}
 		}
+		out = append(out, r)
 	}
 	return out
 }
 
-// setPeerLoads replaces the report of another router.
-func (t *targetTracker) setPeerLoads(name string, loads []framer.TargetLoad, now time.Time) {
-	p := peerLoads{receivedAt: now, targets: make(map[string]framer.TargetLoad, len(loads))}
-	for _, l := range loads {
-		p.targets[l.Target] = l
-	}
+// setPeerReports replaces the reports of another router. It returns the targets of which it
+// is news that they leave.
+func (t *targetTracker) setPeerReports(name string, reports []assessor.Report, now time.Time) (leaving []assessor.Report) {
+	p := peerLoads{receivedAt: now, targets: make(map[string]assessor.Report, len(reports))}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, r := range reports {
+		p.targets[r.Target] = r
+		if r.Leaving || r.PauseLeft > 0 || r.Crashed {
+			if t.target(r.Target).RecordReport(r, now) {
+				leaving = append(leaving, r)
+			}
+		}
+	}
 	t.peerLoads[name] = p
+	return leaving
 }
 
 // removePeer drops the report of a router whose link is down.
@@ -165,19 +178,16 @@
 	delete(t.peerLoads, name)
 }
 
-// peerLoad sums up the running requests of all other routers at a target; t.mu must
-// be held.
-func (t *targetTracker) peerLoad(target string, now time.Time) framer.TargetLoad {
-	var sum framer.TargetLoad
+// peerLoad sums up the running requests of all other routers at a start of a target; t.mu
+// must be held.
+func (t *targetTracker) peerLoad(target string, start, now time.Time) (sum assessor.Load) {
 	for _, p := range t.peerLoads {
 		if now.Sub(p.receivedAt) > peerLoadLifetime {
 			continue
 		}
-		load := p.targets[target]
-		sum.PendingTokens += load.PendingTokens
-		sum.ShortRequests += load.ShortRequests
-		sum.LongRequests += load.LongRequests
-		sum.Suspects += load.Suspects
+		if r, ok := p.targets[target]; ok {
+			sum.Add(r.LoadOn(start))
+		}
 	}
 	return sum
 }
@@ -194,16 +204,45 @@
 			continue
 		}
 		routers++
-		for id, load := range p.targets {
+		for id, r := range p.targets {
 			if inService[id] {
-				sum.Short += load.ShortRequests
-				sum.Long += load.LongRequests
+				sum.Short += r.Load.ShortRequests
+				sum.Long += r.Load.LongRequests
 			}
 		}
 	}
 	return sum, routers
 }
 
+// closedTargets counts the targets of a service that take no requests from this router.
+type closedTargets struct {
+	leaving int
+	paused  int
+	// pausedUntil is the earliest end of a pause.
+	pausedUntil time.Time
+}
+
+// open returns the targets that take requests from this router, and counts the others.
+func (t *targetTracker) open(entries []registrar.Entry, now time.Time) (open []registrar.Entry, closed closedTargets) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	open = make([]registrar.Entry, 0, len(entries))
+	for _, e := range entries {
+		switch a := t.target(e.ID).Assess(e.StartedAt, now); a.State {
+		case assessor.Leaving:
+			closed.leaving++
+		case assessor.Paused:
+			closed.paused++
+			if closed.pausedUntil.IsZero() || a.Until.Before(closed.pausedUntil) {
+				closed.pausedUntil = a.Until
+			}
+		default:
+			open = append(open, e)
+		}
+	}
+	return open, closed
+}
+
 // plan returns the targets in the order in which a request should be offered to them.
 func (t *targetTracker) plan(service string, shape placer.Request, entries []registrar.Entry, now time.Time) []placer.Choice {
 	others := t.others()
@@ -214,14 +253,16 @@
 	var own placer.Demand
 	mean := t.meanSecondsPerToken(entries)
 	for i, e := range entries {
-		s, peers := t.target(e.ID), t.peerLoad(e.ID, now)
+		s := t.target(e.ID)
 		slots = e.Slots
-		own.Short += s.short
-		own.Long += s.long
+		own.Short += s.Load.ShortRequests
+		own.Long += s.Load.LongRequests
+		load := s.Load
+		load.Add(t.peerLoad(e.ID, e.StartedAt, now))
 		targets[i] = placer.Target{
-			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, PendingTokens: s.pendingTokens + peers.PendingTokens,
-			Running: s.short + s.long + peers.ShortRequests + peers.LongRequests, Ejected: s.health.Ejected(now),
-			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean), Suspects: s.suspects + peers.Suspects,
+			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, PendingTokens: load.PendingTokens,
+			Running: load.Running(), Ejected: s.Assess(e.StartedAt, now).Last,
+			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean), Suspects: load.Suspects,
 		}
 	}
 	reported, known := t.reportedDemand(entries, now)
@@ -283,22 +324,23 @@
 // begin counts a request as running at a target until its end method is called. If alone
 // is set and this router has a suspect running there, it returns nil and a channel that is
 // closed when a suspect ends.
-func (t *targetTracker) begin(target string, shape placer.Request, alone bool, now time.Time) (*inFlightRequest, <-chan struct{}) {
+func (t *targetTracker) begin(target registrar.Entry, shape placer.Request, alone bool, now time.Time) (*inFlightRequest, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if alone && t.target(target).suspects > 0 {
+	s := t.target(target.ID)
+	if alone && s.Load.Suspects > 0 {
 		return nil, t.suspectEnded
 	}
-	r := &inFlightRequest{tracker: t, target: target, shape: shape, pendingTokens: shape.UniqueTokens, startedAt: now}
-	s := t.target(target)
+	s.sawStart(target.StartedAt)
+	r := &inFlightRequest{tracker: t, target: target.ID, shape: shape, pendingTokens: shape.UniqueTokens, startedAt: now}
 	if shape.Engine {
 		if !s.prefixes.cached(shape.AffinityKey, now) {
 			r.pendingTokens += shape.SharedTokens
 		}
 		s.prefixes.add(shape.AffinityKey, now)
 	}
-	r.tokensAhead = s.pendingTokens + t.peerLoad(target, now).PendingTokens
-	s.pendingTokens += r.pendingTokens
+	r.tokensAhead = s.Load.PendingTokens + t.peerLoad(target.ID, target.StartedAt, now).PendingTokens
+	s.Load.PendingTokens += r.pendingTokens
 	t.addRunning(s, shape, 1)
 	return r, nil
 }
@@ -316,7 +358,7 @@
 func (r *inFlightRequest) markPrefilled() {
 	if !r.prefilled {
 		r.prefilled = true
-		r.tracker.target(r.target).pendingTokens -= r.pendingTokens
+		r.tracker.target(r.target).Load.PendingTokens -= r.pendingTokens
 	}
 }
 
@@ -331,7 +373,7 @@
 func (t *targetTracker) addRunning(s *targetState, shape placer.Request, n int) {
 	t.running += n
 	if shape.Suspect {
-		s.suspects += n
+		s.Load.Suspects += n
 		t.urgentChange = true
 		if n < 0 {
 			close(t.suspectEnded)
@@ -339,11 +381,11 @@
 		}
 	}
 	if shape.Engine && shape.Long() {
-		s.long += n
+		s.Load.LongRequests += n
 		t.urgentChange = true
 		return
 	}
-	s.short += n
+	s.Load.ShortRequests += n
 }
 
 // recordLoss records a request without a usable response and returns the time until its
@@ -351,7 +393,7 @@
 func (t *targetTracker) recordLoss(target string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.target(target).health.RecordLoss(now)
+	return t.target(target).Health.RecordLoss(now)
 }
 
 // recordFailure records a failure response and returns the time until the target is
@@ -359,14 +401,64 @@
 func (t *targetTracker) recordFailure(target string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.target(target).health.RecordFailure(now)
+	return t.target(target).Health.RecordFailure(now)
 }
 
 // recordSuccess records a successful response to a request that was sent at sentAt.
 func (t *targetTracker) recordSuccess(target string, sentAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.target(target).health.RecordSuccess(sentAt)
+	t.target(target).RecordSuccess(sentAt)
+}
+
+// sawStart records that the target has a start at the given time.
+func (s *targetState) sawStart(start time.Time) {
+	if start.After(s.start) {
+		s.start = start
+	}
+}
+
+// fact returns a fact that a target's response to this router has shown.
+func (t *targetTracker) fact(target registrar.Entry, now time.Time) (*targetState, assessor.Fact) {
+	s := t.target(target.ID)
+	s.sawStart(target.StartedAt)
+	return s, assessor.Fact{Start: target.StartedAt, At: now, Source: assessor.Response}
+}
+
+// recordLeaving records that a target says that it leaves, and reports whether that is news.
+func (t *targetTracker) recordLeaving(target registrar.Entry, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, f := t.fact(target, now)
+	news := s.RecordLeaving(f)
+	t.urgentChange = t.urgentChange || news
+	return news
+}
+
+// recordPause records that a target wants nothing from this router for d, and returns the
+// time until it takes requests again.
+func (t *targetTracker) recordPause(target registrar.Entry, d time.Duration, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, f := t.fact(target, now)
+	t.urgentChange = true
+	return s.RecordPause(f, d).Sub(now)
+}
+
+// recordCrash records that a target has crashed.
+func (t *targetTracker) recordCrash(target registrar.Entry, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, f := t.fact(target, now)
+	s.RecordCrash(f)
+	t.urgentChange = true
+}
+
+// isLeaving reports whether a target has said that it leaves.
+func (t *targetTracker) isLeaving(target registrar.Entry, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.target(target.ID).Assess(target.StartedAt, now).State == assessor.Leaving
 }
 
 // resetTarget clears the cached prefixes, failures, ejection and prefill time that a
@@ -376,16 +468,17 @@
 	defer t.mu.Unlock()
 	s := t.target(target)
 	s.prefixes.clear()
-	s.health = ejector.Health{}
+	s.Health = ejector.Health{}
 	s.secondsPerToken, s.samples = 0, 0
 }
 
-// prune drops targets that are not listed and have no running request.
-func (t *targetTracker) prune(listed map[string]bool) {
+// prune drops targets that are not listed, have no running request and have not said lately
+// that they leave or want nothing: their entries may come back.
+func (t *targetTracker) prune(listed map[string]bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.targets {
-		if !listed[id] && s.short+s.long == 0 {
+		if !listed[id] && s.Load.Running() == 0 && s.Expired(now) {
 			delete(t.targets, id)
 		}
 	}
@@ -402,8 +495,7 @@
 func (t *targetTracker) runningAt(target string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.target(target)
-	return s.short + s.long
+	return t.target(target).Load.Running()
 }
 
 func (t *targetTracker) target(id string) *targetState {
--- a/internal/process/gateway/tracker_test.go
+++ b/internal/process/gateway/tracker_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/request/placer"
 )
 
@@ -30,13 +31,13 @@
 func TestRemovedTargetsArePruned(t *testing.T) {
 	tracker := newTargetTracker(func() int { return 0 })
 	shape := placer.Request{PromptTokens: 10, UniqueTokens: 10, Engine: true}
-	inFlight, _ := tracker.begin("i-1", shape, false, time.Unix(1000, 0))
-	other, _ := tracker.begin("i-2", shape, false, time.Unix(1000, 0))
+	inFlight, _ := tracker.begin(registrar.Entry{ID: "i-1"}, shape, false, time.Unix(1000, 0))
+	other, _ := tracker.begin(registrar.Entry{ID: "i-2"}, shape, false, time.Unix(1000, 0))
 	other.end()
-	tracker.prune(map[string]bool{"i-2": true})
+	tracker.prune(map[string]bool{"i-2": true}, time.Unix(1000, 0))
 	assert.Equal(t, len(tracker.targets), 2)
 	inFlight.end()
-	tracker.prune(map[string]bool{"i-2": true})
+	tracker.prune(map[string]bool{"i-2": true}, time.Unix(1000, 0))
 	assert.Equal(t, len(tracker.targets), 1)
 	assert.Equal(t, tracker.runningCount(), 0)
 }
@@ -46,12 +47,12 @@
 func TestSuspectsRunApart(t *testing.T) {
 	tracker, now := newTargetTracker(func() int { return 0 }), time.Unix(1000, 0)
 	suspect := placer.Request{Suspect: true}
-	first, _ := tracker.begin("i-1", suspect, true, now)
-	refused, ended := tracker.begin("i-1", suspect, true, now)
+	first, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, true, now)
+	refused, ended := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, true, now)
 	assert.Assert(t, first != nil && refused == nil)
-	other, _ := tracker.begin("i-1", placer.Request{}, false, now)
-	elsewhere, _ := tracker.begin("i-2", suspect, true, now)
-	forced, _ := tracker.begin("i-1", suspect, false, now)
+	other, _ := tracker.begin(registrar.Entry{ID: "i-1"}, placer.Request{}, false, now)
+	elsewhere, _ := tracker.begin(registrar.Entry{ID: "i-2"}, suspect, true, now)
+	forced, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, false, now)
 	assert.Assert(t, other != nil && elsewhere != nil && forced != nil)
 	other.end()
 	select {
@@ -62,7 +63,7 @@
 	first.end()
 	<-ended
 	forced.end()
-	again, _ := tracker.begin("i-1", suspect, true, now)
+	again, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, true, now)
 	assert.Assert(t, again != nil)
-	assert.Equal(t, tracker.ownLoads()[0].Suspects, 1)
+	assert.Equal(t, tracker.ownReports(now)[0].Load.Suspects, 1)
 }
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -86,6 +86,9 @@
 	BudgetRefused             = Event{342, slog.LevelWarn, "budget does not cover a request", "compare limit, spent and elsewhere; see docs/OPERATIONS.md"}
 	TokensLent                = Event{343, slog.LevelInfo, "tokens lent to another router", "none"}
 	LoanUnreported            = Event{344, slog.LevelWarn, "cost of a loan could not be reported", "none; the lender counts the whole loan as spent"}
+	TargetLeaving             = Event{345, slog.LevelInfo, "target says that it leaves; it gets no more requests", "none"}
+	TargetPaused              = Event{346, slog.LevelInfo, "target wants no requests from this router for a time", "none; many of them mean that the service is at capacity"}
+	TargetsPaused             = Event{347, slog.LevelWarn, "no target left: some want no requests for a time", "too few targets, or too much load: see paused and notBefore"}
 	BudgetCommitFailed        = Event{350, slog.LevelWarn, "commit of budget rows failed", "check the platform's store; spending continues from the tokens held"}
 	BudgetRowUnreadable       = Event{351, slog.LevelError, "budget row is unreadable", "check that all routers run the same release"}
 	HoldingRecovered          = Event{352, slog.LevelWarn, "holding of an earlier incarnation taken over", "none; tokens that it may have spent count as spent"}
@@ -108,5 +111,6 @@
 	ConfigurationApplied, ConfigurationUnreadable, TargetsListed, TargetUpdated, TargetRemoved, TargetUnreadable, StoreDirectPathLost, StoreDirectPathRestored, MemberUnreadable,
 	RowsFetchedFromPeer,
 	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
+	TargetLeaving, TargetPaused, TargetsPaused,
 	BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable,
 }
