Gateway: a suspect's contents run at one target at a time

Cause: suspects were kept apart by target only. Arrivals of the same suspect content ran at as many targets at once as there were arrivals, and each ended its target before the verdict of the others came.

Change: begin also waits while a suspect with the same digest runs at this router; after the wait the verdict is asked again.

Left: different routers may run the same suspect content at the same time.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -88,8 +88,8 @@
 }
 
 // place chooses a target for the next attempt and counts the request as running there. A
-// suspect waits until it can have a target apart from this router's other suspects, but for
-// isolationTime at most.
+// suspect waits until it can have a target apart from this router's other suspects, and until
+// those with the same contents have ended, but for isolationTime at most.
 func (g *Gateway) place(ctx context.Context, out *clientResponse, q *request, shape placer.Request, now time.Time) (registrar.Entry, *refusal) {
 	isolateUntil := now.Add(min(isolationTime, q.deadline.Sub(now)/2))
 	for {
@@ -104,7 +104,7 @@
 		if ref := g.refuseIfTooLate(q, out, shape, target, now); ref != nil {
 			return target, ref
 		}
-		inFlight, suspectEnded := g.tracker.begin(target, shape, shape.Suspect && now.Before(isolateUntil), now)
+		inFlight, suspectEnded := g.tracker.begin(target, shape, q.digest, shape.Suspect && now.Before(isolateUntil), now)
 		if inFlight != nil {
 			q.triedRuns[runOf(target)], q.targetID, q.inFlight = true, target.ID, inFlight
 			q.targetStart = g.suspects.Start(runOf(target))
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -83,6 +83,8 @@
 	services  map[string]*serviceState
 	peerLoads map[string]peerLoads
 	running   int
+	// suspects counts the running suspects by digest.
+	suspects map[string]int
 	// suspectEnded is closed and replaced when a suspect ends.
 	suspectEnded chan struct{}
 	// urgentChange is set when a long request begins or ends, a target has crashed, or it has
@@ -125,7 +127,7 @@
 	return &targetTracker{
 		others:  others,
 		targets: make(map[string]*targetState), services: make(map[string]*serviceState), peerLoads: make(map[string]peerLoads),
-		suspectEnded: make(chan struct{}),
+		suspects: make(map[string]int), suspectEnded: make(chan struct{}),
 	}
 }
 
@@ -314,6 +316,7 @@
 type inFlightRequest struct {
 	tracker       *targetTracker
 	target        string
+	digest        string
 	shape         placer.Request
 	startedAt     time.Time
 	pendingTokens int64 // prompt tokens of this request to prefill
@@ -322,17 +325,17 @@
 }
 
 // begin counts a request as running at a target until its end method is called. If alone
-// is set and this router has a suspect running there, it returns nil and a channel that is
-// closed when a suspect ends.
-func (t *targetTracker) begin(target registrar.Entry, shape placer.Request, alone bool, now time.Time) (*inFlightRequest, <-chan struct{}) {
+// is set and this router has a suspect running there, or one with the same digest running
+// anywhere, it returns nil and a channel that is closed when a suspect ends.
+func (t *targetTracker) begin(target registrar.Entry, shape placer.Request, digest string, alone bool, now time.Time) (*inFlightRequest, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.target(target.ID)
-	if alone && s.Load.Suspects > 0 {
+	if alone && (s.Load.Suspects > 0 || t.suspects[digest] > 0) {
 		return nil, t.suspectEnded
 	}
 	s.sawStart(target.StartedAt)
-	r := &inFlightRequest{tracker: t, target: target.ID, shape: shape, pendingTokens: shape.UniqueTokens, startedAt: now}
+	r := &inFlightRequest{tracker: t, target: target.ID, digest: digest, shape: shape, pendingTokens: shape.UniqueTokens, startedAt: now}
 	if shape.Engine {
 		if !s.prefixes.cached(shape.AffinityKey, now) {
 			r.pendingTokens += shape.SharedTokens
@@ -341,7 +344,7 @@
 	}
 	r.tokensAhead = s.Load.PendingTokens + t.peerLoad(target.ID, target.StartedAt, now).PendingTokens
 	s.Load.PendingTokens += r.pendingTokens
-	t.addRunning(s, shape, 1)
+	r.addRunning(s, 1)
 	return r, nil
 }
 
@@ -367,20 +370,25 @@
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
 	r.markPrefilled()
-	r.tracker.addRunning(r.tracker.target(r.target), r.shape, -1)
+	r.addRunning(r.tracker.target(r.target), -1)
 }
 
-func (t *targetTracker) addRunning(s *targetState, shape placer.Request, n int) {
+// addRunning adds n to the running requests of the request's kind; tracker.mu must be held.
+func (r *inFlightRequest) addRunning(s *targetState, n int) {
+	t := r.tracker
 	t.running += n
-	if shape.Suspect {
+	if r.shape.Suspect {
 		s.Load.Suspects += n
 		t.urgentChange = true
+		if t.suspects[r.digest] += n; t.suspects[r.digest] == 0 {
+			delete(t.suspects, r.digest)
+		}
 		if n < 0 {
 			close(t.suspectEnded)
 			t.suspectEnded = make(chan struct{})
 		}
 	}
-	if shape.Engine && shape.Long() {
+	if r.shape.Engine && r.shape.Long() {
 		s.Load.LongRequests += n
 		t.urgentChange = true
 		return
--- a/internal/process/gateway/tracker_test.go
+++ b/internal/process/gateway/tracker_test.go
@@ -31,8 +31,8 @@
 func TestRemovedTargetsArePruned(t *testing.T) {
 	tracker := newTargetTracker(func() int { return 0 })
 	shape := placer.Request{PromptTokens: 10, UniqueTokens: 10, Engine: true}
-	inFlight, _ := tracker.begin(registrar.Entry{ID: "i-1"}, shape, false, time.Unix(1000, 0))
-	other, _ := tracker.begin(registrar.Entry{ID: "i-2"}, shape, false, time.Unix(1000, 0))
+	inFlight, _ := tracker.begin(registrar.Entry{ID: "i-1"}, shape, "", false, time.Unix(1000, 0))
+	other, _ := tracker.begin(registrar.Entry{ID: "i-2"}, shape, "", false, time.Unix(1000, 0))
 	other.end()
 	tracker.prune(map[string]bool{"i-2": true}, time.Unix(1000, 0))
 	assert.Equal(t, len(tracker.targets), 2)
@@ -47,13 +47,15 @@
 func TestSuspectsRunApart(t *testing.T) {
 	tracker, now := newTargetTracker(func() int { return 0 }), time.Unix(1000, 0)
 	suspect := placer.Request{Suspect: true}
-	first, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, true, now)
-	refused, ended := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, true, now)
+	first, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, "a", true, now)
+	refused, ended := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, "b", true, now)
 	assert.Assert(t, first != nil && refused == nil)
-	other, _ := tracker.begin(registrar.Entry{ID: "i-1"}, placer.Request{}, false, now)
-	elsewhere, _ := tracker.begin(registrar.Entry{ID: "i-2"}, suspect, true, now)
-	forced, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, false, now)
+	other, _ := tracker.begin(registrar.Entry{ID: "i-1"}, placer.Request{}, "c", false, now)
+	elsewhere, _ := tracker.begin(registrar.Entry{ID: "i-2"}, suspect, "d", true, now)
+	forced, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, "e", false, now)
 	assert.Assert(t, other != nil && elsewhere != nil && forced != nil)
+	repeated, _ := tracker.begin(registrar.Entry{ID: "i-3"}, suspect, "d", true, now)
+	assert.Assert(t, repeated == nil, "the same contents run at two targets")
 	other.end()
 	select {
 	case <-ended:
@@ -63,7 +65,7 @@
 	first.end()
 	<-ended
 	forced.end()
-	again, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, true, now)
+	again, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, "f", true, now)
 	assert.Assert(t, again != nil)
 	assert.Equal(t, tracker.ownReports(now)[0].Load.Suspects, 1)
 }
