--- a/internal/request/assessor/assessor.go
+++ b/internal/request/assessor/assessor.go
@@ -40,6 +40,8 @@
 	// crashLifetime is how long a crash that another router has seen counts against the
 	// target: about the time that it takes to start again.
 	crashLifetime = 3 * time.Second
+	// maxClockSkew bounds how far the clocks of a target and of this router may differ.
+	maxClockSkew = 3 * time.Second
 	// factLifetime is how long facts are kept about a target that is no longer listed. Its
 	// entry may lapse and come back.
 	factLifetime = 10 * time.Minute
@@ -70,9 +72,13 @@
 	Source Source
 }
 
-// about reports whether the fact is about the given start.
+// about reports whether the fact is about the given start. A response that came well after
+// that start belongs to it, even if the list still showed the one before.
 func (f Fact) about(start time.Time) bool {
-	return !f.At.IsZero() && f.Start.Equal(start)
+	if f.At.IsZero() || f.Start.Equal(start) {
+		return !f.At.IsZero()
+	}
+	return f.Source == Response && f.Start.Before(start) && f.At.Sub(start) > maxClockSkew
 }
 
 // superseded reports whether a new fact about the given start replaces f.
--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -99,6 +99,12 @@
 	{"request that crashes targets", func(s *Soak, random *rand.Rand) func() { return s.sendCrashing(random) }},
 }
 
+// withdrawals are drawn from a sequence of their own too.
+var withdrawals = []fault{
+	{"target leaves", func(s *Soak, random *rand.Rand) func() { return s.leave(pick(random, s.targets)) }},
+	{"target wants nothing", func(s *Soak, random *rand.Rand) func() { return s.pause(pick(random, s.targets), random) }},
+}
+
 // failures are the ways in which a failing target responds in turn, in a random order.
 var failures = []platformtest.Behaviour{
 	{Fail: true},
@@ -226,6 +232,11 @@
 		sleep(ctx, randomDuration(random, maxGap))
 		s.injectSequence(ctx, &wg, end, random, crashingRequests, crashingGap)
 	})
+	wg.Go(func() {
+		random := rand.New(rand.NewPCG(s.Seed, 4))
+		sleep(ctx, randomDuration(random, withdrawalGap))
+		s.injectSequence(ctx, &wg, end, random, withdrawals, withdrawalGap)
+	})
 	s.injectSequence(ctx, &wg, end, s.random, faults, maxGap)
 }
 
--- a/internal/trial/soaker/history.go
+++ b/internal/trial/soaker/history.go
@@ -59,9 +59,9 @@
 	e.observations = append(e.observations, s)
 }
 
-// Check returns the violated guarantees, given what targets ran by request ID.
-// Every finding starts with the name of its check.
-func (e *History) Check(b Bounds, runs map[string][]platformtest.Run) []string {
+// Check returns the violated guarantees, given what targets ran by request ID and what
+// reached each of them. Every finding starts with the name of its check.
+func (e *History) Check(b Bounds, runs map[string][]platformtest.Run, arrivals map[string][]platformtest.Arrival) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var found []string
@@ -78,6 +78,7 @@
 	found = append(found, e.checkSpend(b, runs)...)
 	found = append(found, e.checkVersions()...)
 	found = append(found, e.checkCrashes(runs)...)
+	found = append(found, e.checkWithdrawals(arrivals)...)
 	return append(found, e.checkRecovery(b)...)
 }
 
@@ -90,11 +91,16 @@
 	return ""
 }
 
+// mayRunAgain reports whether the request's route allows a second attempt.
+func (s Observation) mayRunAgain() bool {
+	return !strings.HasPrefix(s.Request.Path, "/orders/") && !strings.HasPrefix(s.Request.Path, "/reviews/")
+}
+
 // checkRunCount finds requests that targets ran too often.
 func checkRunCount(s Observation, runs []platformtest.Run) string {
-	maxAllowed := maxIdempotentRuns
-	if strings.HasPrefix(s.Request.Path, "/orders/") || strings.HasPrefix(s.Request.Path, "/reviews/") {
-		maxAllowed = 1
+	maxAllowed := 1
+	if s.mayRunAgain() {
+		maxAllowed = maxIdempotentRuns
 	}
 	if len(runs) > maxAllowed {
 		return fmt.Sprintf("twice: ran %d times, limit %d", len(runs), maxAllowed)
--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -132,7 +132,7 @@
 	s.senders.Wait()
 	runs := s.runs()
 	s.count(runs)
-	findings := s.history.Check(Bounds{AlphaBudget: s.configuration.AlphaBudget, RecoveryDeadline: recoveryDeadline}, runs)
+	findings := s.history.Check(Bounds{AlphaBudget: s.configuration.AlphaBudget, RecoveryDeadline: recoveryDeadline}, runs, s.arrivals())
 	return append(findings, s.checkStops()...), nil
 }
 
@@ -232,6 +232,15 @@
 	return out
 }
 
+// arrivals returns the requests that reached each target.
+func (s *Soak) arrivals() map[string][]platformtest.Arrival {
+	out := make(map[string][]platformtest.Arrival)
+	for _, t := range s.targets {
+		out[t.standin.ID] = t.standin.Arrivals()
+	}
+	return out
+}
+
 // count counts the runs that show what the seed has tested.
 func (s *Soak) count(runs map[string][]platformtest.Run) {
 	for _, list := range runs {
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -111,11 +111,11 @@
 		t.Run(title, func(t *testing.T) {
 			requests, want, _ := strings.Cut(rest, "--- ")
 			var h soaker.History
-			runs := make(map[string][]platformtest.Run)
+			runs, arrivals := make(map[string][]platformtest.Run), make(map[string][]platformtest.Arrival)
 			for i, line := range strings.Split(strings.TrimSpace(requests), "\n") {
-				h.Add(parseObservation(t, fmt.Sprintf("r%d", i), line, runs))
+				h.Add(parseObservation(t, fmt.Sprintf("r%d", i), line, runs, arrivals))
 			}
-			found := h.Check(soaker.Bounds{AlphaBudget: 1000, RecoveryDeadline: at(50)}, runs)
+			found := h.Check(soaker.Bounds{AlphaBudget: 1000, RecoveryDeadline: at(50)}, runs, arrivals)
 			if want = strings.TrimSpace(want); want == "none" {
 				assert.Equal(t, len(found), 0, "%v", found)
 				return
@@ -134,7 +134,7 @@
 }
 
 // parseObservation parses one request line of testdata/evidence.txt.
-func parseObservation(t *testing.T, id, line string, runs map[string][]platformtest.Run) soaker.Observation {
+func parseObservation(t *testing.T, id, line string, runs map[string][]platformtest.Run, arrivals map[string][]platformtest.Arrival) soaker.Observation {
 	t.Helper()
 	s := soaker.Observation{Request: platformtest.Request{ID: id, Key: "alpha-key", Timeout: 2 * time.Second}, Gateway: "g@1", StartedAt: at(0), EndedAt: at(1)}
 	s.Response.Ended = true
@@ -168,6 +168,12 @@
 				seconds, _ := strconv.ParseFloat(begun, 64) // the cases hold numbers only
 				runs[id] = append(runs[id], platformtest.Run{StartedAt: at(seconds), Crashed: true})
 			}
+		case "reached": // the request reached target t at this time
+			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: at(number), ID: id})
+		case "leaving": // it did, and the target said that it leaves
+			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, Leaving: true})
+		case "pause": // it did, and the target wants nothing for this number of seconds
+			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, RetryAfter: value})
 		case "frozen":
 			s.GatewayFrozen = true
 		case "begun":
