--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -21,6 +21,8 @@
 	minFault = 200 * time.Millisecond
 	maxFault = 4 * time.Second
 	maxGap   = 900 * time.Millisecond
+	// endlessGap limits the time between the starts of two responses without end.
+	endlessGap = 4 * time.Second
 	// lateCommitDelay is the delay after which commits without a reply take effect.
 	lateCommitDelay = 1500 * time.Millisecond
 	slowStoreDelay  = 250 * time.Millisecond
@@ -105,6 +107,18 @@
 	{"target wants nothing", func(s *Soak, random *rand.Rand) func() { return s.pause(pick(random, s.targets), random) }},
 }
 
+// endlessResponses are drawn from a sequence of their own too.
+var endlessResponses = []fault{
+	{"response without end", func(s *Soak, random *rand.Rand) func() {
+		t := pick(random, s.targets).standin
+		t.SetBehaviour(platformtest.Behaviour{Endless: pick(random, []string{
+			"HTTP/1.1 200 OK\r\nX-Long: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "aaaaaaaaaaaaaaaa", "\r\n",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		})})
+		return func() { t.SetBehaviour(healthyBehaviour) }
+	}},
+}
+
 // failures are the ways in which a failing target responds in turn, in a random order.
 var failures = []platformtest.Behaviour{
 	{Fail: true},
@@ -237,6 +251,11 @@
 		sleep(ctx, randomDuration(random, withdrawalGap))
 		s.injectSequence(ctx, &wg, end, random, withdrawals, withdrawalGap)
 	})
+	wg.Go(func() {
+		random := rand.New(rand.NewPCG(s.Seed, 5))
+		sleep(ctx, randomDuration(random, endlessGap))
+		s.injectSequence(ctx, &wg, end, random, endlessResponses, endlessGap)
+	})
 	s.injectSequence(ctx, &wg, end, s.random, faults, maxGap)
 }
 
