--- a/internal/trial/demonstrator/demonstrator_test.go
+++ b/internal/trial/demonstrator/demonstrator_test.go
@@ -16,6 +16,7 @@
 	"github.com/egretroute/egretroute/internal/trial/demonstrator"
 	"github.com/egretroute/egretroute/internal/trial/loader"
 	"github.com/egretroute/egretroute/internal/version/declarer"
+	"github.com/egretroute/egretroute/internal/version/patcher"
 )
 
 var clients = []loader.Client{{Organisation: "alpha", Key: "alpha-key", Share: 1}, {Organisation: "beta", Key: "beta-key", Share: 1}}
@@ -146,3 +147,34 @@
 	assert.Equal(t, report.Outcomes["answered"]+report.Outcomes["not-run"], 400, "%v", report.Outcomes)
 	assert.Equal(t, slowReport.Outcomes["answered"]+slowReport.Outcomes["not-run"], 160, "%v", slowReport.Outcomes)
 }
+
+// TestVersionIsAppliedEverywhere applies a version with a new organisation while requests run.
+// Every router must serve the organisation within ten seconds, and go on doing so.
+func TestVersionIsAppliedEverywhere(t *testing.T) {
+	const routers, bound = 4, 10 * time.Second
+	d := start(t, &demonstrator.Demonstrator{Routers: routers, Engines: 2}, 10_000_000)
+	p := &patcher.Patcher{Table: d.Platform.Table}
+	fleet, err := p.Current(t.Context())
+	assert.NilError(t, err)
+	fleet.Organisations = append(fleet.Organisations, declarer.Organisation{
+		Name: "gamma", KeyHash: declarer.HashKey("gamma-key"), Budget: 1_000_000, Weight: 1,
+	})
+	_, err = p.Apply(t.Context(), fleet, "adds gamma")
+	assert.NilError(t, err)
+	applied := time.Now()
+	var wg sync.WaitGroup
+	for i := range routers {
+		wg.Go(func() {
+			outcome := ""
+			for outcome != "answered" && time.Since(applied) < bound {
+				outcome, _ = chat(t, d.ClientURL(i), "gamma-key", "hello", 5)
+				time.Sleep(50 * time.Millisecond)
+			}
+			assert.Check(t, outcome == "answered", "router %d: %s after %v", i, outcome, time.Since(applied))
+			t.Logf("router %d applied the version after %v", i, time.Since(applied).Round(10*time.Millisecond))
+			outcome, _ = chat(t, d.ClientURL(i), "gamma-key", "hello again", 5)
+			assert.Check(t, outcome == "answered", "router %d: %s later", i, outcome)
+		})
+	}
+	wg.Wait()
+}
