Gateway: a report to peers holds the eight newest facts about idle targets

By reading: with more than 32 targets that leave, as in a release, each report held 32 of them chosen at random, some 1 KB, while the pace of reports in a large fleet assumes 360 bytes. Now the newest eight, about 200 bytes; what is older is in the targets' entries.

--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -131,28 +132,28 @@
 	}
 }
 
-// maxReportedFacts bounds the targets without a running request in a report.
-const maxReportedFacts = 32
+// maxReportedFacts bounds the targets without a running request in a report: facts that no
+// report has room for are also in the targets' entries soon.
+const maxReportedFacts = 8
 
-// ownReports returns what this router tells its peers of targets.
-func (t *targetTracker) ownReports(now time.Time) []assessor.Report {
+// ownReports returns what this router tells its peers of targets: the load of those with
+// running requests, and the newest facts about others.
+func (t *targetTracker) ownReports(now time.Time) (reports []assessor.Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []assessor.Report
-	facts := 0
+	var idle []assessor.Report
 	for id, s := range t.targets {
-		r := s.Report(id, s.start, now)
-		if r.Empty() {
-			continue
-		}
-		if r.Load.Running() == 0 {
-			if facts++; facts > maxReportedFacts {
-				continue
-			}
+		switch r := s.Report(id, s.start, now); {
+		case r.Load.Running() > 0:
+			reports = append(reports, r)
+		case !r.Empty():
+			idle = append(idle, r)
 		}
-		out = append(out, r)
 	}
-	return out
+	slices.SortFunc(idle, func(a, b assessor.Report) int {
+		return t.targets[b.Target].LearnedAt().Compare(t.targets[a.Target].LearnedAt())
+	})
+	return append(reports, idle[:min(len(idle), maxReportedFacts)]...)
 }
 
 // setPeerReports replaces the reports of another router. It returns the targets of which it
--- a/internal/process/gateway/tracker_test.go
+++ b/internal/process/gateway/tracker_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,3 +70,24 @@
 	assert.Assert(t, again != nil)
 	assert.Equal(t, tracker.ownReports(now)[0].Load.Suspects, 1)
 }
+
+// TestReportsHoldTheNewestFacts lets many targets leave, as in a release. A report must stay
+// small, and hold all targets with running requests and those that said so last.
+func TestReportsHoldTheNewestFacts(t *testing.T) {
+	const targets = 40
+	tracker, now := newTargetTracker(func() int { return 0 }), time.Unix(1000, 0)
+	for i := range targets {
+		target := registrar.Entry{ID: fmt.Sprintf("i-%d", i)}
+		tracker.recordLeaving(target, now.Add(time.Duration(i)*time.Second))
+		if i < 3 {
+			inFlight, _ := tracker.begin(target, placer.Request{}, "", false, now)
+			assert.Assert(t, inFlight != nil)
+		}
+	}
+	reports := tracker.ownReports(now.Add(time.Minute))
+	assert.Equal(t, len(reports), 3+maxReportedFacts)
+	for i, r := range reports[3:] {
+		assert.Equal(t, r.Target, fmt.Sprintf("i-%d", targets-1-i))
+		assert.Assert(t, r.Leaving)
+	}
+}
--- a/internal/request/assessor/assessor.go
+++ b/internal/request/assessor/assessor.go
@@ -181,6 +181,17 @@
 	}
 }
 
+// LearnedAt returns when the newest fact was learned, or the zero time if there is none.
+func (t *Target) LearnedAt() time.Time {
+	newest := t.leaving.At
+	for _, at := range []time.Time{t.paused.At, t.peerPaused.At, t.crashed.At} {
+		if at.After(newest) {
+			newest = at
+		}
+	}
+	return newest
+}
+
 // Expired reports whether all facts are too old to be kept for a target that is no longer
 // listed.
 func (t *Target) Expired(now time.Time) bool {
