A crash that another router has seen counts for half a second

Cause: since a crash counted against its target for three seconds, at routers that saw it too. Where the list shows the target's next start late, a target that is back stays last, suspects find fewer targets apart, and one more crash hits what runs beside them.

Change: half a second, as the first ejection, and only for what another router has seen; a router's own losses eject the target as before.

--- a/internal/request/assessor/assessor.go
+++ b/internal/request/assessor/assessor.go
@@ -13,8 +13,8 @@
 //   - Targets that ask for a pause. An overloaded target that refuses a request may state for
 //     how long it wants none from this router. Requests that are sent all the same are refused
 //     too, and keep the target busy. Other routers, which it has not told, use it last.
-//   - Targets that crashed. The routers that had no request there learn of it from others,
-//     and all use the target last until it starts again or the crash is some seconds ago.
+//   - Targets that crashed. Routers that had no request there learn of it from others, and
+//     use the target last for a moment, or until it starts again.
 //
 // # Usage
 //
@@ -38,8 +38,8 @@
 	// target out of service for good.
 	maxPause = time.Hour
 	// crashLifetime is how long a crash that another router has seen counts against the
-	// target: about the time that it takes to start again.
-	crashLifetime = 3 * time.Second
+	// target: as long as a router's own first ejection. Its entry may show the next start late.
+	crashLifetime = 500 * time.Millisecond
 	// maxClockSkew bounds how far the clocks of a target and of this router may differ.
 	maxClockSkew = 3 * time.Second
 	// factLifetime is how long facts are kept about a target that is no longer listed. Its
@@ -221,7 +221,7 @@
 	// Until is the end of the pause of a Paused target.
 	Until time.Time
 	// Last is set for an Open target that should be used only if there is no other: requests
-	// there have failed, it has crashed lately, or it has asked another router for a pause.
+	// there have failed, another router has seen it crash, or it has asked one for a pause.
 	Last bool
 }
 
@@ -233,6 +233,6 @@
 	if until := t.paused.active(start, now); !until.IsZero() {
 		return Assessment{State: Paused, Until: until}
 	}
-	crashed := t.crashed.about(start) && now.Sub(t.crashed.At) < crashLifetime
+	crashed := t.crashed.about(start) && t.crashed.Source == Peer && now.Sub(t.crashed.At) < crashLifetime
 	return Assessment{Last: t.Health.Ejected(now) || crashed || !t.peerPaused.active(start, now).IsZero()}
 }
