--- a/internal/connection/exchanger/endless_test.go
+++ b/internal/connection/exchanger/endless_test.go
@@ -107,7 +107,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		resp, err := pool.Exchange(ctx, address, exchanger.Request{
-			Method: "GET", URI: "/", Host: "h", Matches: func(_ int, h http.Header) bool { return h.Get("X-Attempt-Id") != "other" },
+			Method: "GET", URI: "/", Host: "h", Matches: func(_ int, h http.Header) bool { return h.Get("X-Request") != "other" },
 		})
 		if err != nil {
 			assert.Assert(t, errors.Is(err, exchanger.ErrNotSent) || errors.Is(err, exchanger.ErrBroken) || errors.Is(err, exchanger.ErrEndless), "%v", err)
