--- a/internal/connection/framer/store.go
+++ b/internal/connection/framer/store.go
@@ -70,6 +70,41 @@
 	Clock time.Duration
 	Rows  []RowValue
 	Error string
+	// Era is the store's era.
+	Era uint64
+}
+
+// Draw is what a router had drawn of an organisation's budget, in tokens.
+type Draw struct {
+	Organisation string
+	// Commit numbers the commits of the router's holding, over all its incarnations.
+	Commit uint64
+	// Drawn is the sum of all draws less what was returned, spent or not.
+	Drawn int64
+}
+
+// RecordDraws asks a process to remember a router's draws, each until a later commit.
+type RecordDraws struct {
+	Router string
+	Draws  []Draw
+}
+
+// DrawsRecorded is the reply to a RecordDraws.
+type DrawsRecorded struct {
+	// Age is the time since the process started.
+	Age time.Duration
+}
+
+// FetchDraws asks a process for the draws of a router that it remembers.
+type FetchDraws struct {
+	Router string
+}
+
+// RecordedDraws is the reply to a FetchDraws.
+type RecordedDraws struct {
+	Draws []Draw
+	// Age is the time since the process started: it remembers nothing from before.
+	Age time.Duration
 }
 
 // PeerReport tells another router what this one knows of targets, and the requests that
@@ -115,13 +150,21 @@
 	case *Relayed:
 		return &wire.Frame{Body: &wire.Frame_Relayed{Relayed: &wire.Relayed{
 			Outcome: int32(m.Outcome), Version: m.Version, ClockNanos: int64(m.Clock),
-			Rows: mapAll(m.Rows, encodeRow), Error: m.Error,
+			Rows: mapAll(m.Rows, encodeRow), Error: m.Error, Era: m.Era,
 		}}}
 	case *PeerReport:
 		return &wire.Frame{Body: &wire.Frame_PeerReport{PeerReport: &wire.PeerReport{
 			Incarnation: m.Incarnation,
 			Targets:     mapAll(m.Targets, encodeReport), Crashes: encodeCrashes(m.Crashes),
 		}}}
+	case *RecordDraws:
+		return &wire.Frame{Body: &wire.Frame_RecordDraws{RecordDraws: &wire.RecordDraws{Router: m.Router, Draws: mapAll(m.Draws, encodeDraw)}}}
+	case *DrawsRecorded:
+		return &wire.Frame{Body: &wire.Frame_DrawsRecorded{DrawsRecorded: &wire.DrawsRecorded{AgeMillis: m.Age.Milliseconds()}}}
+	case *FetchDraws:
+		return &wire.Frame{Body: &wire.Frame_FetchDraws{FetchDraws: &wire.FetchDraws{Router: m.Router}}}
+	case *RecordedDraws:
+		return &wire.Frame{Body: &wire.Frame_RecordedDraws{RecordedDraws: &wire.RecordedDraws{Draws: mapAll(m.Draws, encodeDraw), AgeMillis: m.Age.Milliseconds()}}}
 	case *FetchRowCache:
 		return &wire.Frame{Body: &wire.Frame_FetchKnown{FetchKnown: &wire.FetchKnown{}}}
 	case *RowCache:
@@ -155,7 +198,7 @@
 		r := b.Relayed
 		return &Relayed{
 			Outcome: RelayOutcome(r.GetOutcome()), Version: r.GetVersion(), Clock: time.Duration(r.GetClockNanos()),
-			Rows: mapAll(r.GetRows(), decodeRow), Error: r.GetError(),
+			Rows: mapAll(r.GetRows(), decodeRow), Error: r.GetError(), Era: r.GetEra(),
 		}
 	case *wire.Frame_PeerReport:
 		r := b.PeerReport
@@ -163,6 +206,16 @@
 			Incarnation: r.GetIncarnation(),
 			Targets:     mapAll(r.GetTargets(), decodeReport), Crashes: decodeCrashes(r.GetCrashes()),
 		}
+	case *wire.Frame_RecordDraws:
+		return &RecordDraws{Router: b.RecordDraws.GetRouter(), Draws: mapAll(b.RecordDraws.GetDraws(), decodeDraw)}
+	case *wire.Frame_DrawsRecorded:
+		return &DrawsRecorded{Age: time.Duration(b.DrawsRecorded.GetAgeMillis()) * time.Millisecond}
+	case *wire.Frame_FetchDraws:
+		return &FetchDraws{Router: b.FetchDraws.GetRouter()}
+	case *wire.Frame_RecordedDraws:
+		return &RecordedDraws{
+			Draws: mapAll(b.RecordedDraws.GetDraws(), decodeDraw), Age: time.Duration(b.RecordedDraws.GetAgeMillis()) * time.Millisecond,
+		}
 	case *wire.Frame_FetchKnown:
 		return &FetchRowCache{}
 	case *wire.Frame_Known:
@@ -175,6 +228,14 @@
 	}
 }
 
+func encodeDraw(d Draw) *wire.Draw {
+	return &wire.Draw{Organisation: d.Organisation, Commit: d.Commit, Drawn: d.Drawn}
+}
+
+func decodeDraw(w *wire.Draw) Draw {
+	return Draw{Organisation: w.GetOrganisation(), Commit: w.GetCommit(), Drawn: w.GetDrawn()}
+}
+
 func encodeRow(r RowValue) *wire.RowValue {
 	return &wire.RowValue{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted}
 }
--- a/internal/connection/relayer/codec.go
+++ b/internal/connection/relayer/codec.go
@@ -37,18 +37,18 @@
 	return framer.RowValue{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Value == nil}
 }
 
-func decodeRow(r framer.RowValue) storer.Row {
+func decodeRow(r framer.RowValue, era storer.Era) storer.Row {
 	value := r.Value
 	if r.Deleted {
 		value = nil
 	}
-	return storer.Row{Key: r.Key, Version: r.Version, Value: value}
+	return storer.Row{Key: r.Key, Version: r.Version, Value: value, Era: era}
 }
 
 func decodeRowBatch(r *framer.Relayed) (storer.RowBatch, error) {
-	batch := storer.RowBatch{NextVersion: r.Version}
+	batch := storer.RowBatch{NextVersion: r.Version, Era: storer.Era(r.Era)}
 	for _, row := range r.Rows {
-		batch.Rows = append(batch.Rows, decodeRow(row))
+		batch.Rows = append(batch.Rows, decodeRow(row, batch.Era))
 	}
 	return batch, decodeError(r)
 }
@@ -63,7 +63,7 @@
 	var conflict *storer.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		r.Outcome, r.Clock = framer.RelayConflict, conflict.Clock
+		r.Outcome, r.Clock, r.Era = framer.RelayConflict, conflict.Clock, uint64(conflict.Era)
 		for _, row := range conflict.Rows {
 			r.Rows = append(r.Rows, encodeRow(row))
 		}
@@ -83,9 +83,9 @@
 	case framer.RelayOK:
 		return nil
 	case framer.RelayConflict:
-		conflict := &storer.ConflictError{Clock: r.Clock}
+		conflict := &storer.ConflictError{Clock: r.Clock, Era: storer.Era(r.Era)}
 		for _, row := range r.Rows {
-			conflict.Rows = append(conflict.Rows, decodeRow(row))
+			conflict.Rows = append(conflict.Rows, decodeRow(row, conflict.Era))
 		}
 		return conflict
 	case framer.RelayHistoryLost:
--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -64,6 +64,7 @@
 		reply := encodeError(err)
 		reply.Version = receipt.Version
 		reply.Clock = max(reply.Clock, receipt.Clock)
+		reply.Era = max(reply.Era, uint64(receipt.Era))
 		_ = stream.Write(reply) // if it fails, the peer sees the stream end
 		return true
 	case *framer.RelayWatch:
@@ -72,7 +73,7 @@
 		defer cancel()
 		batch, err := s.watch(ctx, m, wait)
 		reply := encodeError(err)
-		reply.Version = batch.NextVersion
+		reply.Version, reply.Era = batch.NextVersion, uint64(batch.Era)
 		for _, r := range batch.Rows {
 			reply.Rows = append(reply.Rows, encodeRow(r))
 		}
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -43,7 +43,7 @@
 	return relay(ctx, s, 0,
 		func(ctx context.Context) (storer.Receipt, error) { return s.Direct.CommitWithReceipt(ctx, c) },
 		call, func(r *framer.Relayed) (storer.Receipt, error) {
-			return storer.Receipt{Version: r.Version, Clock: r.Clock}, decodeError(r)
+			return storer.Receipt{Version: r.Version, Clock: r.Clock, Era: storer.Era(r.Era)}, decodeError(r)
 		})
 }
 
--- /dev/null
+++ b/internal/process/reconciler/reconciler.go
@@ -0,0 +1,261 @@
+// Package reconciler decides when a router may draw tokens again after the platform's store
+// has come back from an older copy.
+//
+// The copy lacks what routers have drawn since. Each router that lives adds its own draws to the
+// rows again and says so in a row of the table of eras. For a router that doesn't, another one
+// counts the draws that it has recorded with other processes, and if these records are not
+// complete, all of the budgets. Once all routers are counted, the rows show every token that
+// anybody may have, and draws are safe.
+//
+// # Usage
+//
+//	r := &reconciler.Reconciler{Store: store, Router: "router-1", Holdings: allocator, ...}
+//	go r.Run(ctx)
+//	r.SetEra(2) // from storer.Guard.OnEra
+package reconciler
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/process/pauser"
+	"github.com/egretroute/egretroute/internal/process/storer"
+)
+
+const (
+	// pollInterval is the time between two looks at the table of eras; a large fleet polls
+	// more slowly, at pollPerRouter for each router.
+	pollInterval  = 200 * time.Millisecond
+	pollPerRouter = 5 * time.Millisecond
+	// countAfter is how long a router may take to count itself before others do. Most
+	// processes have started again by then.
+	countAfter = 3 * time.Second
+	// atMostAfter is how long to ask for records before all budgets count as drawn.
+	atMostAfter = 8 * time.Second
+	// MaxCopyAge is the age of the oldest copy from which the store comes back.
+	MaxCopyAge = 15 * time.Second
+)
+
+// firstEra is the era of a store that has never come back from a copy.
+const firstEra storer.Era = 1
+
+// Method is how a router's draws were counted.
+type Method string
+
+// Methods of counting.
+const (
+	// Own means that the router has counted its draws itself.
+	Own Method = "own"
+	// Recorded means that the draws recorded with other processes were counted.
+	Recorded Method = "recorded"
+	// AtMost means that all budgets count as drawn.
+	AtMost Method = "atMost"
+)
+
+// Holdings are this router's holdings of budgets.
+type Holdings interface {
+	// Rebased reports whether the rows show all that this incarnation has drawn, and all that
+	// earlier ones have.
+	Rebased(era storer.Era) (rebased, counted bool)
+	// SetCounted is called once the rows show all that earlier incarnations have drawn,
+	// OpenDraws once they show all that any router has.
+	SetCounted(era storer.Era)
+	OpenDraws(era storer.Era)
+}
+
+// Counter counts the draws of other routers; see spender.Counter.
+type Counter interface {
+	CountRecorded(ctx context.Context, era storer.Era, router string, draws map[string]framer.Draw) (tokens int64, err error)
+	CountAtMost(ctx context.Context, era storer.Era, limits map[string]int64) (tokens int64, err error)
+}
+
+// Reconciler counts draws after each new era. Exported fields are set before the first call.
+type Reconciler struct {
+	Store  storer.Store
+	Router string
+	// Table is the table of eras, Key the key of a router's row in it.
+	Table    string
+	Key      func(router string) string
+	Holdings Holdings
+	Counter  Counter
+	// Routers returns all routers that may have drawn tokens; Limits all budgets' limits.
+	Routers func(ctx context.Context) ([]string, error)
+	Limits  func() map[string]int64
+	// HasRows reports whether the store has rows of a router's holdings.
+	HasRows func(ctx context.Context, router string) (bool, error)
+	// Fetch returns the draws that other processes remember of a router, and whether these
+	// are all that it has made within minAge.
+	Fetch func(ctx context.Context, router string, minAge time.Duration) (draws map[string]framer.Draw, complete bool)
+	// OnCounted is called after a router was counted, OnOpen once all are.
+	OnCounted func(era storer.Era, router string, method Method, tokens int64)
+	OnOpen    func(era storer.Era, after time.Duration)
+	// OnWaiting is called with the routers that are not counted yet, when others begin to
+	// count them.
+	OnWaiting func(era storer.Era, routers []string)
+
+	mu      sync.Mutex // guards all below
+	era     storer.Era
+	seenAt  time.Time
+	changed chan struct{}
+}
+
+// eraRow is a row of the table of eras.
+type eraRow struct {
+	Era    uint64 `json:"era"`
+	Method Method `json:"method"`
+	By     string `json:"by"`
+}
+
+// SetEra tells the reconciler the store's era. It must not be called with an older one.
+func (r *Reconciler) SetEra(era storer.Era) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.era, r.seenAt = era, time.Now()
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
+
+func (r *Reconciler) current() (era storer.Era, seenAt time.Time, changed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.era, r.seenAt, r.changed
+}
+
+// Run reconciles each era until ctx ends.
+func (r *Reconciler) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		era, seenAt, changed := r.current()
+		if era > firstEra {
+			r.reconcile(ctx, era, seenAt)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// reconcile runs until draws are open in an era, a new era has begun, or ctx ends.
+func (r *Reconciler) reconcile(ctx context.Context, era storer.Era, seenAt time.Time) {
+	told := false
+	for ctx.Err() == nil {
+		if now, _, _ := r.current(); now != era {
+			return
+		}
+		missing, routers, err := r.missing(ctx, era)
+		switch {
+		case err != nil:
+		case slices.Contains(missing, r.Router):
+			r.countSelf(ctx, era, seenAt)
+		case len(missing) == 0:
+			r.Holdings.SetCounted(era)
+			r.Holdings.OpenDraws(era)
+			if r.OnOpen != nil {
+				r.OnOpen(era, time.Since(seenAt))
+			}
+			return
+		default:
+			r.Holdings.SetCounted(era)
+			if time.Since(seenAt) >= countAfter {
+				if !told && r.OnWaiting != nil {
+					r.OnWaiting(era, missing)
+				}
+				told = true
+				for _, router := range missing {
+					r.count(ctx, era, seenAt, router)
+				}
+			}
+		}
+		pauser.Pause(ctx, max(pollInterval, time.Duration(routers)*pollPerRouter))
+	}
+}
+
+// missing returns the routers that are not counted in an era, and the number of all.
+func (r *Reconciler) missing(ctx context.Context, era storer.Era) (missing []string, routers int, err error) {
+	batch, err := r.Store.List(ctx, r.Table)
+	if err != nil {
+		return nil, 0, err
+	}
+	if batch.Era != era {
+		return nil, 0, storer.ErrEraChanged
+	}
+	counted := make(map[string]bool)
+	for _, row := range batch.Rows {
+		var w eraRow
+		if err := json.Unmarshal(row.Value, &w); err == nil && storer.Era(w.Era) == era { // another row counts nobody
+			counted[row.Key] = true
+		}
+	}
+	names, err := r.Routers(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	if !slices.Contains(names, r.Router) {
+		names = append(names, r.Router)
+	}
+	for _, name := range names {
+		if !counted[r.Key(name)] {
+			missing = append(missing, name)
+		}
+	}
+	return missing, len(names), nil
+}
+
+// countSelf writes this router's row once its own rows show all that it has drawn.
+func (r *Reconciler) countSelf(ctx context.Context, era storer.Era, seenAt time.Time) {
+	rebased, counted := r.Holdings.Rebased(era)
+	switch {
+	case counted && rebased:
+		r.write(ctx, era, r.Router, Own, 0)
+	case counted:
+	default:
+		r.count(ctx, era, seenAt, r.Router) // for an earlier incarnation
+	}
+}
+
+// count counts the draws of a router that can't do so itself.
+func (r *Reconciler) count(ctx context.Context, era storer.Era, seenAt time.Time, router string) {
+	minAge := time.Since(seenAt) + MaxCopyAge
+	draws, complete := r.Fetch(ctx, router, minAge)
+	if !complete {
+		if hasRows, err := r.HasRows(ctx, router); err != nil || (hasRows && time.Since(seenAt) < atMostAfter) {
+			return
+		} else if hasRows {
+			if tokens, err := r.Counter.CountAtMost(ctx, era, r.Limits()); err == nil {
+				r.write(ctx, era, router, AtMost, tokens)
+			}
+			return
+		}
+	}
+	if tokens, err := r.Counter.CountRecorded(ctx, era, router, draws); err == nil {
+		r.write(ctx, era, router, Recorded, tokens)
+	}
+}
+
+// write records that a router is counted.
+func (r *Reconciler) write(ctx context.Context, era storer.Era, router string, method Method, tokens int64) {
+	value, _ := json.Marshal(eraRow{Era: uint64(era), Method: method, By: r.Router}) // always encodes
+	c := storer.Commit{Era: era}
+	c.Update(r.Key(router), 0, value)
+	_, err := r.Store.CommitWithReceipt(ctx, c)
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) && len(conflict.Rows) > 0 {
+		c = storer.Commit{Era: era}
+		c.Update(r.Key(router), conflict.Rows[0].Version, value)
+		_, err = r.Store.CommitWithReceipt(ctx, c)
+	}
+	if err == nil && r.OnCounted != nil {
+		r.OnCounted(era, router, method, tokens)
+	}
+}
--- a/internal/process/spender/allocator.go
+++ b/internal/process/spender/allocator.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
@@ -84,6 +85,9 @@
 	StockRank func(organisation string) int
 	// Interval is how often settlements are committed.
 	Interval time.Duration
+	// Record makes other processes remember what this router has drawn, or returns an error. It
+	// is called before a commit that changes it; nil means that nothing is recorded.
+	Record func(ctx context.Context, draws []framer.Draw) error
 	// OnCommit is called after every commit with its outcome.
 	OnCommit func(rows int, err error)
 	// OnUnreadable is called for a row that can't be decoded.
@@ -91,6 +95,10 @@
 	// OnRecovered is called when an earlier incarnation's holding is taken over, with the
 	// tokens of it that count as spent and those that can be reserved again.
 	OnRecovered func(organisation string, spent, returned int64)
+	// OnRebased is called when the rows of all accounts show again what this router has drawn,
+	// after the store has come back from a copy. accounts is the number of rows written and drawn
+	// the tokens that the copy did not show as drawn.
+	OnRebased func(era storer.Era, accounts int, drawn int64)
 
 	mu       sync.Mutex // guards all below
 	accounts map[string]*holdingAccount
@@ -109,6 +117,16 @@
 	// loans holds the reservations for other routers, by voucher.
 	loans   map[string]loan
 	closing bool
+	// era is the store's era that the accounts' versions belong to.
+	era storer.Era
+	// drawsClosed is set while other routers' draws may be missing in the store's rows;
+	// uncounted while an earlier incarnation's may be.
+	drawsClosed bool
+	uncounted   bool
+	// rebased sums up the accounts and tokens of the running rebase; rebasing is set until it ends.
+	rebasing        bool
+	rebasedAccounts int
+	rebasedDrawn    int64
 }
 
 // Reservation is a request's reservation; it is passed to Reserve until that succeeds.
@@ -145,7 +163,7 @@
 	}
 	now := time.Now()
 	v := acct.view(a.Horizon, now)
-	if v.Spent+r.Amount > v.Limit || (now.Sub(acct.budgetReadAt) < maxRowAge && !v.MayCover(r.Amount)) {
+	if v.Spent+r.Amount > v.Limit || (!a.drawsClosed && now.Sub(acct.budgetReadAt) < maxRowAge && !v.MayCover(r.Amount)) {
 		return ErrExhausted
 	}
 	if r.counted && r.round != acct.round {
--- a/internal/process/spender/heartbeater.go
+++ b/internal/process/spender/heartbeater.go
@@ -1,6 +1,7 @@
 package spender
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sync"
@@ -61,8 +62,13 @@
 	clock   time.Duration
 	clockAt time.Time
 	// builtAt is when the newest heartbeat was built, whether or not it took effect.
-	builtAt     time.Time
-	version     uint64
+	builtAt time.Time
+	// sentValue is the row of the newest heartbeat built.
+	sentValue []byte
+	version   uint64
+	era       storer.Era
+	// rebasedEra is the era in which this router's rows are known to show all its draws.
+	rebasedEra  storer.Era
 	predecessor string
 	// predecessorGap is an upper bound of how long the predecessor ran after its last
 	// heartbeat.
@@ -85,6 +91,9 @@
 type wireHeartbeat struct {
 	Incarnation string `json:"incarnation"`
 	AtMillis    int64  `json:"atMillis"`
+	// RebasedEra is the newest era of the store in which the router's rows have shown all that
+	// it had drawn.
+	RebasedEra uint64 `json:"era,omitempty"`
 	// Allowances is keyed by organisation.
 	Allowances map[string]wireAllowance `json:"marks"`
 }
@@ -138,6 +147,26 @@
 	return Allowance{}, unknownGap
 }
 
+// SetEra tells the heartbeater the store's era: the first one known, or a new one, after which the
+// heartbeat's row is an older one. How long a predecessor ran after that is unknown.
+func (h *Heartbeater) SetEra(era storer.Era, first bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.era = era
+	if first {
+		h.rebasedEra = era
+	} else {
+		h.version, h.predecessorGap = 0, unknownGap
+	}
+}
+
+// SetRebased tells the heartbeater that this router's rows show in an era all its draws.
+func (h *Heartbeater) SetRebased(era storer.Era) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rebasedEra = era
+}
+
 // Failing reports whether the last heartbeat failed.
 func (h *Heartbeater) Failing() bool {
 	h.mu.Lock()
@@ -207,12 +236,14 @@
 		case errors.As(err, &conflict):
 			h.conflicted(conflict, sent)
 			pending = nil
+		case errors.Is(err, storer.ErrEraChanged):
+			pending = nil
 		}
 		if !read && (err == nil || conflict != nil) {
 			read = true
 			close(predecessorRead)
 		}
-		h.report(err, conflict != nil)
+		h.report(err, conflict != nil || errors.Is(err, storer.ErrEraChanged))
 		if conflict == nil {
 			h.waitNext(ctx)
 		}
@@ -253,12 +284,13 @@
 		at += now.Sub(h.clockAt)
 	}
 	h.sent = allowances
-	heartbeat := wireHeartbeat{Incarnation: h.Incarnation, AtMillis: at.Milliseconds(), Allowances: make(map[string]wireAllowance, len(allowances))}
+	heartbeat := wireHeartbeat{Incarnation: h.Incarnation, AtMillis: at.Milliseconds(), RebasedEra: uint64(h.rebasedEra), Allowances: make(map[string]wireAllowance, len(allowances))}
 	for name, allowance := range allowances {
 		heartbeat.Allowances[name] = wireAllowance(allowance)
 	}
 	value, _ := json.Marshal(heartbeat) // always encodes
-	c := &storer.Commit{}
+	h.sentValue = value
+	c := &storer.Commit{Era: h.era}
 	c.Update(h.Key, h.version, value)
 	return c
 }
@@ -283,14 +315,16 @@
 	defer h.mu.Unlock()
 	h.clock, h.clockAt, h.version = conflict.Clock, time.Now(), 0
 	var heartbeat wireHeartbeat
+	sentUnchanged := false
 	for _, row := range conflict.Rows {
 		h.version = row.Version
+		sentUnchanged = bytes.Equal(row.Value, h.sentValue)
 		if err := json.Unmarshal(row.Value, &heartbeat); err != nil {
 			return // an unreadable heartbeat leaves the gap unknown
 		}
 	}
-	if heartbeat.Incarnation == h.Incarnation {
-		h.confirm() // the heartbeat whose reply was lost: it was sent unchanged
+	if sentUnchanged {
+		h.confirm() // the heartbeat whose reply was lost
 	}
 	if heartbeat.Incarnation == "" || heartbeat.Incarnation == h.Incarnation {
 		return
@@ -304,6 +338,9 @@
 	start := conflict.Clock - sent.Sub(h.started)
 	h.predecessor = heartbeat.Incarnation
 	h.predecessorGap = start - time.Duration(heartbeat.AtMillis)*time.Millisecond
+	if storer.Era(heartbeat.RebasedEra) != conflict.Era {
+		h.predecessorGap = unknownGap // later heartbeats may be lost
+	}
 }
 
 func (h *Heartbeater) report(err error, conflict bool) {
--- a/internal/process/spender/holding.go
+++ b/internal/process/spender/holding.go
@@ -56,6 +56,16 @@
 	// PublishedReserved and PublishedRate are this holder's part of the budget's sums.
 	PublishedReserved int64
 	PublishedRate     int64
+	// Published is what is settled and part of the budget's Spent, over all incarnations.
+	Published int64
+	// Closed is set if the holder holds nothing and is not among the budget's Holders. The row
+	// is kept, as Published tells later what the budget's row contains of it.
+	Closed bool
+}
+
+// drawn returns the tokens that the holder has drawn and not returned, spent or not.
+func (h Holding) drawn() int64 {
+	return h.Held + h.Unpublished + h.Published
 }
 
 // Allowance is the allowance that a heartbeat sets between two commits of a holding.
@@ -126,6 +136,19 @@
 	return b
 }
 
+// rebase returns the budget with a holding that is before in the row replaced by after, where drawn
+// is the difference of their draws.
+func (b Budget) rebase(before, after Holding, drawn int64, existed bool) Budget {
+	b.Granted += drawn
+	b.Spent += after.Published - before.Published
+	b.Reserved += after.PublishedReserved - before.PublishedReserved
+	b.Rate += after.PublishedRate - before.PublishedRate
+	if !existed || before.Closed {
+		b.Holders++
+	}
+	return b
+}
+
 // withLender returns the budget with a router among its lenders if it can spare more
 // tokens than others that are listed.
 func (b Budget) withLender(router string, spare int64) Budget {
@@ -344,6 +367,16 @@
 	pending    *holdingPlan
 	// changed is set by every settlement or failed reservation.
 	changed bool
+	// rebase is set from when the store has come back from a copy until the rows show again what
+	// this holder has drawn and spent. copied is the holding in the copy, once copyRead is set.
+	rebase   bool
+	copyRead bool
+	copied   Holding
+	// recorded is what the newest record of this holder's draws says, once hasRecord is set;
+	// unconfirmed is set until other processes have confirmed the record.
+	recorded    int64
+	hasRecord   bool
+	unconfirmed bool
 	// plannedAt is when a commit of the account was last considered.
 	plannedAt time.Time
 }
@@ -356,8 +389,10 @@
 	held   Holding
 	// budget is the new state of the organisation's row, or nil if that does not change.
 	budget *Budget
-	// deletes is set if the holding's row is to be deleted.
-	deletes bool
+	// closes is set if the holding ends.
+	closes bool
+	// rebase is set if the plan ends the account's rebase.
+	rebase bool
 	// unanswered is set once the plan was sent without a reply.
 	unanswered bool
 }
@@ -372,9 +407,18 @@
 	if a.pending != nil {
 		free = min(free, a.maxReserved(a.pending.held, allowances)-(a.spent-a.pending.settle)-a.reserved)
 	}
+	if a.hasRecord {
+		// After a death in the same moment as a loss of the store, only the record tells of draws.
+		free = min(free, a.recorded-a.held.Published-a.held.Unpublished-a.spent-a.reserved)
+	}
 	return free
 }
 
+// counted reports whether the holder is among the budget's Holders.
+func (a *holdingAccount) counted() bool {
+	return a.heldVersion != 0 && !a.held.Closed
+}
+
 // maxReserved returns how many tokens of a holding may be reserved both by the newest
 // heartbeat known to have taken effect and by the newest one built.
 func (a *holdingAccount) maxReserved(h Holding, allowances Allowances) int64 {
@@ -415,7 +459,7 @@
 		OthersRate: float64(a.budget.Rate - a.held.PublishedRate), OthersReserved: a.budget.Reserved - a.held.PublishedReserved,
 		Others: a.budget.Holders, Rate: a.rate(now), SpendRate: a.cost.rate(now), Horizon: horizon, Sparse: a.sparse(horizon, now),
 	}
-	if a.heldVersion != 0 {
+	if a.counted() {
 		v.Others--
 	}
 	v.Others = max(v.Others, 0)
--- a/internal/process/spender/holdingcommit.go
+++ b/internal/process/spender/holdingcommit.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
@@ -37,6 +38,7 @@
 	var err error
 	started := time.Now()
 	a.checkExhausted(ctx)
+	a.readCopies(ctx)
 	for _, sc := range []scope{scopeShared, scopeOwn} {
 		var sent bool
 		if sent, err = a.flushScope(ctx, sc, started, urgent, closing); sent {
@@ -48,7 +50,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.failing = err != nil && !errors.Is(err, storer.ErrConflict)
+	a.failing = err != nil && !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrEraChanged)
 	a.wakeWaiters()
 	return clean
 }
@@ -90,20 +92,26 @@
 // fresh is set if the rows were read just before. A conflict then means that routers
 // write at the same time, and commits of fewer budgets conflict less.
 func (a *Allocator) commit(ctx context.Context, sc scope, started time.Time, fresh, urgent, closing bool) (names []string, err error) {
-	names, c := a.plan(sc, started, urgent, closing)
+	names, c, draws := a.plan(sc, started, urgent, closing)
 	if len(names) == 0 {
 		return nil, nil
 	}
+	if err := a.record(ctx, draws); err != nil {
+		return nil, err
+	}
 	receipt, err := a.Table.CommitWithReceipt(ctx, c)
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var conflict *storer.ConflictError
 	switch {
+	case a.era != c.Era:
+		return names, storer.ErrEraChanged // the accounts have dropped their plans
 	case err == nil:
 		for _, name := range names {
 			a.accounts[name].committed(receipt.Version, now)
 		}
+		a.finishRebase()
 		a.batchSize = min(a.batchSize+1, maxCommitRows/2)
 	case errors.As(err, &conflict):
 		a.applyConflict(names, conflict.Rows, now)
@@ -128,7 +136,8 @@
 }
 
 // plan builds a commit for accounts that are due and were not considered since started.
-func (a *Allocator) plan(sc scope, started time.Time, urgent, closing bool) ([]string, storer.Commit) {
+// It also returns the draws that must be recorded before the commit is sent.
+func (a *Allocator) plan(sc scope, started time.Time, urgent, closing bool) ([]string, storer.Commit, []framer.Draw) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.batchSize == 0 {
@@ -139,7 +148,8 @@
 		limit = maxCommitRows
 	}
 	var names []string
-	var c storer.Commit
+	var draws []framer.Draw
+	c := storer.Commit{Era: a.era}
 	for _, name := range a.dueAccounts(started, urgent, closing) {
 		if len(names) == limit {
 			break
@@ -154,17 +164,16 @@
 			acct.plannedAt = time.Now()
 		}
 		names = append(names, name)
-		value := encodeHolding(p.held)
-		if p.deletes {
-			value = nil
+		if d, ok := a.drawToRecord(name, acct, p); ok {
+			draws = append(draws, d)
 		}
-		c.Update(a.HoldingKey(name), acct.heldVersion, value)
+		c.Update(a.HoldingKey(name), acct.heldVersion, encodeHolding(p.held))
 		if p.budget != nil {
 			c.Update(a.BudgetKey(name), acct.budgetVersion, encodeBudget(*p.budget))
 		}
 	}
 	slices.Sort(names)
-	return names, c
+	return names, c, draws
 }
 
 // dueAccounts returns the accounts to consider for a commit, those that requests wait for
@@ -174,6 +183,9 @@
 	var waiting, others []string
 	for name, acct := range a.accounts {
 		switch {
+		case acct.rebase && (acct.copyRead || acct.pending != nil):
+			waiting = append(waiting, name)
+		case acct.rebase || a.uncounted:
 		case acct.pending == nil && (!acct.plannedAt.Before(started) || !acct.due(now, urgent, closing)):
 		case acct.unmet > 0:
 			waiting = append(waiting, name)
@@ -190,28 +202,34 @@
 	if acct.pending != nil {
 		return acct.pending
 	}
+	if acct.rebase {
+		return a.planRebase(acct)
+	}
 	v := acct.view(a.Horizon, now)
 	change := HoldingChange(v)
+	if a.drawsClosed {
+		change = min(change, 0)
+	}
 	if closing {
 		change = acct.reserved - v.Held
 	}
-	if acct.unmet > 0 && change == 0 && v.undrawn() == 0 && !closing {
-		if now.Sub(acct.budgetReadAt) >= maxRowAge {
+	if acct.unmet > 0 && change == 0 && (v.undrawn() == 0 || a.drawsClosed) && !closing {
+		if now.Sub(acct.budgetReadAt) >= maxRowAge && !a.drawsClosed {
 			return nil // checkExhausted could not read the row
 		}
 		acct.resolveUnmet(acct.unmet) // nothing can be drawn now
 	}
 	p := &holdingPlan{
-		commit: acct.lastCommit + 1, settle: acct.spent, unmet: acct.unmet, deletes: v.Held+change == 0 && (closing || (v.Sparse && acct.reserved == 0)),
+		commit: acct.lastCommit + 1, settle: acct.spent, unmet: acct.unmet, closes: v.Held+change == 0 && (closing || (v.Sparse && acct.reserved == 0)),
 		held: a.nextHolding(acct, v, change),
 	}
-	holds := acct.heldVersion != 0 || acct.spent > 0
+	holds := acct.counted() || acct.spent > 0
 	switch {
-	case p.deletes && !holds:
-	case p.deletes || acct.mustPublish(v, change, now):
+	case p.closes && !holds:
+	case p.closes || acct.mustPublish(v, change, now):
 		a.publish(acct, p, change, int64(v.Rate))
 		return p
-	case acct.spent > 0 || acct.inherited:
+	case acct.spent > 0 || acct.inherited || (acct.hasRecord && acct.recorded != p.held.drawn()):
 		return p
 	}
 	acct.changed, acct.plannedAt = false, now
@@ -245,6 +263,7 @@
 	return Holding{
 		Incarnation: a.Incarnation, Held: held, Allowance: AllowanceAmount(v, held, a.Heartbeats.AllowancePeriod()), AllowanceGrowth: AllowanceGrowth(v),
 		Commit: acct.lastCommit + 1, Unpublished: acct.held.Unpublished + acct.spent, PublishedReserved: acct.held.PublishedReserved, PublishedRate: acct.held.PublishedRate,
+		Published: acct.held.Published, Closed: acct.held.Closed,
 	}
 }
 
@@ -252,11 +271,12 @@
 func (a *Allocator) publish(acct *holdingAccount, p *holdingPlan, change, rate int64) {
 	before, spare := acct.held, p.held.Held-acct.reserved
 	before.Unpublished = p.held.Unpublished
-	p.held.Unpublished, p.held.PublishedReserved, p.held.PublishedRate = 0, acct.reserved, rate
-	if p.deletes {
-		p.held = Holding{}
+	p.held.Published += p.held.Unpublished
+	p.held.Unpublished, p.held.PublishedReserved, p.held.PublishedRate, p.held.Closed = 0, acct.reserved, rate, p.closes
+	if p.closes {
+		p.held = Holding{Incarnation: a.Incarnation, Commit: p.held.Commit, Published: p.held.Published, Closed: true}
 	}
-	b := acct.budget.publish(before, p.held, change, acct.heldVersion != 0, !p.deletes).withLender(a.Router, spare)
+	b := acct.budget.publish(before, p.held, change, acct.counted(), !p.closes).withLender(a.Router, spare)
 	p.budget = &b
 }
 
@@ -276,9 +296,7 @@
 	p := a.pending
 	a.pending = nil
 	a.held, a.heldVersion = p.held, version
-	if p.deletes {
-		a.heldVersion = 0
-	}
+	a.rebase = a.rebase && !p.rebase
 	a.spent -= p.settle
 	a.resolveUnmet(p.unmet)
 	if p.budget != nil {
@@ -297,6 +315,10 @@
 		if acct.pending.budget != nil && !a.loadBudget(name, acct, byKey[a.BudgetKey(name)], now) {
 			continue
 		}
+		if acct.rebase {
+			a.loadCopy(name, acct, byKey[a.HoldingKey(name)])
+			continue
+		}
 		a.loadHolding(name, acct, byKey[a.HoldingKey(name)])
 	}
 }
@@ -319,9 +341,9 @@
 	now := time.Now()
 	a.mu.Lock()
 	var names []string
-	var c storer.Commit
+	c := storer.Commit{Era: a.era}
 	for name, acct := range a.accounts {
-		if acct.pending == nil && acct.unmet > 0 && acct.limitKnown && now.Sub(acct.budgetReadAt) >= maxRowAge && acct.view(a.Horizon, now).undrawn() == 0 &&
+		if acct.pending == nil && !acct.rebase && acct.unmet > 0 && acct.limitKnown && now.Sub(acct.budgetReadAt) >= maxRowAge && acct.view(a.Horizon, now).undrawn() == 0 &&
 			len(names) < maxCommitRows {
 			names = append(names, name)
 			c.Conditions = append(c.Conditions, storer.Condition{Key: a.BudgetKey(name), Version: acct.budgetVersion})
@@ -336,6 +358,7 @@
 	defer a.mu.Unlock()
 	var conflict *storer.ConflictError
 	switch {
+	case a.era != c.Era:
 	case err == nil:
 		for _, name := range names {
 			a.accounts[name].budgetReadAt = now
@@ -367,15 +390,13 @@
 		return
 	}
 	if acct.pending != nil {
-		// A commit that deletes the row leaves no commit number; the missing row shows that it
-		// took effect.
-		if (h.Incarnation == a.Incarnation && h.Commit == acct.pending.commit) || (acct.pending.deletes && row.Version == 0) {
+		if h.Incarnation == a.Incarnation && h.Commit == acct.pending.commit {
 			acct.spent -= acct.pending.settle
 		}
 		acct.pending = nil
 	}
 	acct.plannedAt, acct.changed = time.Time{}, true
-	acct.heldVersion = row.Version
+	acct.heldVersion, acct.lastCommit = row.Version, max(acct.lastCommit, h.Commit)
 	if row.Version != 0 && h.Incarnation != a.Incarnation {
 		a.inherit(name, acct, h)
 		return
@@ -387,7 +408,7 @@
 // again without waiting for demand.
 func (a *Allocator) inheritAll(ctx context.Context) {
 	a.mu.Lock()
-	done := a.inheritedAll
+	done := a.inheritedAll || a.uncounted
 	a.mu.Unlock()
 	if done {
 		return
@@ -398,6 +419,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if batch.Era != a.era {
+		return // the store has come back from a copy since
+	}
 	a.inheritedAll = true
 	for _, row := range batch.Rows {
 		name := strings.TrimPrefix(row.Key, a.HoldingKey(""))
@@ -413,7 +437,13 @@
 	allowance, gap := a.Heartbeats.PredecessorAllowance(h.Incarnation, organisation)
 	spent := h.withAllowance(allowance).MaxReserved(gap)
 	again := acct.inherited
-	acct.held = Holding{Held: h.Held - spent, Unpublished: h.Unpublished + spent, PublishedReserved: h.PublishedReserved, PublishedRate: h.PublishedRate}
+	acct.held = Holding{
+		Held: h.Held - spent, Unpublished: h.Unpublished + spent, PublishedReserved: h.PublishedReserved, PublishedRate: h.PublishedRate,
+		Published: h.Published, Closed: h.Closed,
+	}
+	if h.Closed {
+		return // there is nothing to take over
+	}
 	acct.inherited = true
 	acct.requested.seed(float64(h.PublishedRate), time.Now())
 	if a.OnRecovered != nil && !again {
--- a/internal/process/spender/holdingrow.go
+++ b/internal/process/spender/holdingrow.go
@@ -31,6 +31,8 @@
 	Unpublished       int64   `json:"unshown,omitempty"`
 	PublishedReserved int64   `json:"shownBusy,omitempty"`
 	PublishedRate     int64   `json:"shownRate,omitempty"`
+	Published         int64   `json:"shown,omitempty"`
+	Closed            bool    `json:"closed,omitempty"`
 }
 
 func encodeBudget(b Budget) []byte {
--- a/internal/process/storer/client.go
+++ b/internal/process/storer/client.go
@@ -97,7 +97,7 @@
 	}
 	rows := make([]Row, len(resp.Rows))
 	for i, r := range resp.Rows {
-		rows[i] = Row(r)
+		rows[i] = Row{Key: r.Key, Version: r.Version, Value: r.Value}
 	}
 	return rows, nil
 }
--- a/internal/process/storer/memory.go
+++ b/internal/process/storer/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	rows    map[string]Row
 	commits uint64
 	reads   uint64
+	era     Era
 	// Now returns the time of the table's monotonic clock; if nil, the time is always 0.
 	Now func() time.Duration
 }
@@ -23,6 +25,33 @@
 	return &Memory{rows: make(map[string]Row)}
 }
 
+// SetEra sets the era that replies tell.
+func (m *Memory) SetEra(era Era) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era = era
+}
+
+// Copy returns a function that replaces all rows by those of now and begins a new era.
+func (m *Memory) Copy() (restore func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows, commits := maps.Clone(m.rows), m.commits
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.rows, m.commits = maps.Clone(rows), commits
+		m.era++
+	}
+}
+
+// Era returns the current era.
+func (m *Memory) Era() Era {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
 // Read implements Table.Read.
 func (m *Memory) Read(_ context.Context, keys ...string) ([]Row, error) {
 	m.mu.Lock()
@@ -74,7 +103,7 @@
 		conflict = conflict || row.Version != cond.Version
 	}
 	if conflict {
-		return Receipt{}, &ConflictError{Rows: current, Clock: m.clock()}
+		return Receipt{}, &ConflictError{Rows: current, Clock: m.clock(), Era: m.era}
 	}
 	m.commits++
 	for _, w := range c.Writes {
@@ -84,7 +113,7 @@
 		}
 		m.rows[w.Key] = Row{Key: w.Key, Version: m.commits, Value: w.Value}
 	}
-	return Receipt{Version: m.commits, Clock: m.clock()}, nil
+	return Receipt{Version: m.commits, Clock: m.clock(), Era: m.era}, nil
 }
 
 // Commits returns the number of commits that took effect.
--- a/internal/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -33,17 +33,27 @@
 	ErrUnavailable = errors.New("the platform did not answer")
 	// ErrRefused is returned when the platform refused a call; nothing was written.
 	ErrRefused = errors.New("the platform refused the call")
+	// ErrEraChanged is returned when the table came back from a copy during a call, or
+	// between the reads on which a commit relies and the commit. What the call did, if
+	// anything, may be lost, so the caller has to read again.
+	ErrEraChanged = errors.New("the platform came back from a copy")
 	// ErrHistoryLost is returned by Watch when the changes after the given version are
 	// no longer available.
 	ErrHistoryLost = errors.New("the platform has dropped the history asked for")
 )
 
+// Era counts how often a table has come back from an older copy of itself. Everything
+// written between the copy and the return is lost, and versions are given out again, so
+// versions of different eras can't be compared. It is 0 if the table does not tell its era.
+type Era uint64
+
 // ConflictError is an ErrConflict with the current rows of the commit's conditions.
 type ConflictError struct {
 	// Rows holds the rows that exist.
 	Rows []Row
 	// Clock is the time of the table's monotonic clock at the reply.
 	Clock time.Duration
+	Era   Era
 }
 
 // Error implements error.
@@ -61,6 +71,8 @@
 	Key     string
 	Version uint64
 	Value   []byte
+	// Era is the era in which the row was read.
+	Era Era
 }
 
 // Condition requires that a row has a version; 0 requires that it doesn't exist.
@@ -79,6 +91,9 @@
 type Commit struct {
 	Conditions []Condition
 	Writes     []Write
+	// Era is the era in which the versions of the conditions were read. A Guard sends the
+	// commit in that era only; 0 means in any.
+	Era Era
 }
 
 // Update adds a write of key on the condition that key has the given version.
@@ -103,6 +118,7 @@
 	Version uint64
 	// Clock is the time of the table's monotonic clock at the reply.
 	Clock time.Duration
+	Era   Era
 }
 
 // Committer is a table whose commits return a receipt.
@@ -119,6 +135,7 @@
 	Rows []Row
 	// NextVersion is the version to pass to the next Watch.
 	NextVersion uint64
+	Era         Era
 }
 
 // Watcher lists a table and follows its change feed.
--- a/internal/standin/storekeeper/storekeeper.go
+++ b/internal/standin/storekeeper/storekeeper.go
@@ -176,7 +176,7 @@
 func writeRows(w http.ResponseWriter, rows []storer.Row) {
 	resp := storer.RowsResponse{Rows: make([]storer.WireRow, len(rows))}
 	for i, r := range rows {
-		resp.Rows[i] = storer.WireRow(r)
+		resp.Rows[i] = storer.WireRow{Key: r.Key, Version: r.Version, Value: r.Value}
 	}
 	_ = json.NewEncoder(w).Encode(resp)
 }
