--- a/internal/process/archiver/archiver.go
+++ b/internal/process/archiver/archiver.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// Forget lets Run write the row again: the store may have lost it.
+func (a *Archiver) Forget() {
+	a.setStored(nil)
+	a.Signal()
+}
+
 func (a *Archiver) signals() chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/process/companion/companion.go
+++ b/internal/process/companion/companion.go
@@ -1,5 +1,5 @@
-// Package companion implements the process that runs beside a target and relays calls
-// to the platform's store for routers that are partitioned from it.
+// Package companion implements the process that runs beside a target, relays calls to the
+// platform's store for routers that are partitioned from it, and records their draws.
 //
 // # Usage
 //
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,6 +20,7 @@
 	"github.com/egretroute/egretroute/internal/connection/relayer"
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/recorder"
 )
 
 // Companion relays calls to the store. Exported fields are set before Run.
@@ -41,7 +43,7 @@
 	relayServer := &relayer.Server{Store: c.Store}
 	linkServer := &linker.Server{
 		Secret: c.Secret, Self: linker.Identity{Name: c.Name, Incarnation: c.Incarnation}, Log: c.Log,
-		Handler:   handler{relayServer: relayServer, incarnation: c.Incarnation},
+		Handler:   handler{relayServer: relayServer, recorder: recorder.New(time.Now), incarnation: c.Incarnation},
 		OnRefused: func(err error) { logger.PeerRefused.Log(c.Log, "error", err) },
 	}
 	failed := make(chan error, 1)
@@ -71,12 +73,13 @@
 // handler serves the streams that routers open.
 type handler struct {
 	relayServer *relayer.Server
+	recorder    *recorder.Recorder
 	incarnation string
 }
 
 // ServeStream implements linker.Handler.
 func (h handler) ServeStream(s *linker.Stream, first any) {
-	if h.relayServer.Serve(s, first) {
+	if h.relayServer.Serve(s, first) || h.recorder.Serve(s, first) {
 		return
 	}
 	if _, ok := first.(*framer.Ping); ok {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -40,6 +40,8 @@
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/pauser"
+	"github.com/egretroute/egretroute/internal/process/reconciler"
+	"github.com/egretroute/egretroute/internal/process/recorder"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/process/storer"
@@ -129,8 +131,14 @@
 	peers          *peerLinks
 	rowCache       *rowCache
 	relayServer    *relayer.Server
-	// store calls Store directly or relays calls through other processes.
+	// store calls Store directly or relays calls through other processes, and keeps replies of
+	// different eras apart.
 	store Store
+	// reconciler lets the allocator draw again after the store has come back from a copy;
+	// recorder holds other routers' draws.
+	reconciler  *reconciler.Reconciler
+	recorder    *recorder.Recorder
+	enrollAgain chan struct{}
 	// suspects holds the crashes that the fleet has seen, crashes exchanges them with other
 	// routers.
 	suspects *suspecter.Suspecter
@@ -174,7 +182,11 @@
 	g.suspects.SettleTime = crashSettleTime
 	g.crashes.Suspecter, g.crashes.Scope = g.suspects, suspecter.Own
 	g.peers = g.newPeerLinks()
-	g.store = &relayer.Store{Direct: g.Store, Links: g.peers.links, OnLost: g.onDirectLost, OnRestored: g.onDirectRestored}
+	g.store = &storer.Guard{
+		Store: &relayer.Store{Direct: g.Store, Links: g.peers.links, OnLost: g.onDirectLost, OnRestored: g.onDirectRestored},
+		OnEra: g.onEra, OnStale: g.onStaleReply,
+	}
+	g.recorder, g.enrollAgain = recorder.New(time.Now), make(chan struct{}, 1)
 	g.archiver = g.newArchiver()
 	g.relayServer = &relayer.Server{Store: g.Store}
 	g.retries = &retrier.Budget{Limits: func() retrier.Limits { return g.limits.Load().Retries }}
@@ -186,11 +198,12 @@
 	}
 	g.allocator = &spender.Allocator{
 		Table: g.store, Router: g.Name, Incarnation: g.Incarnation, BudgetKey: g.budgetKey,
-		HoldingKey: func(organisation string) string { return g.Schema.RowKey("holdings", g.Name, organisation) },
+		HoldingKey: func(organisation string) string { return g.holdingKey(g.Name, organisation) },
 		Horizon:    g.Limits.StockHorizon, Interval: settlementInterval, OnCommit: g.onBudgetCommit,
 		OnUnreadable: g.onRowUnreadable, OnRecovered: g.onHoldingRecovered, Heartbeats: g.heartbeats,
-		StockRank: g.stockRank,
+		StockRank: g.stockRank, Record: g.recordDraws, OnRebased: g.onRebased,
 	}
+	g.reconciler = g.newReconciler()
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	g.workers.Go(func() { g.followConfiguration(workCtx) })
@@ -201,6 +214,7 @@
 	g.workers.Go(func() { g.pushReports(workCtx) })
 	g.workers.Go(func() { g.fetchFromPeers(workCtx) })
 	g.workers.Go(func() { g.enroll(workCtx) })
+	g.workers.Go(func() { g.reconciler.Run(workCtx) })
 	g.workers.Go(func() { g.heartbeats.Run(workCtx) })
 	allocatorCtx, stopAllocator := context.WithCancel(workCtx)
 	defer stopAllocator()
@@ -315,17 +329,26 @@
 	logger.HoldingRecovered.Log(g.Log, "organisation", organisation, "spent", spent, "returned", returned)
 }
 
+func (g *Gateway) onRebased(era storer.Era, accounts int, drawn int64) {
+	logger.HoldingsRebased.Log(g.Log, "era", era, "rows", accounts, "tokens", drawn)
+}
+
 // enroll writes the gateway's row to the members table, where the fleet's other
-// processes find it.
+// processes find it, and writes it again after the store has come back from a copy.
 func (g *Gateway) enroll(ctx context.Context) {
 	e := &enroller.Enroller{Store: g.store, Key: g.Schema.RowKey(membersTable, "", g.Name), Self: enroller.Member{
 		Name: g.Name, Incarnation: g.Incarnation, Kind: enroller.Router, Address: g.FleetListener.Addr().String(),
 		Domain: g.Domain,
 	}}
-	if err := e.Run(ctx); err == nil {
+	for e.Run(ctx) == nil {
 		now := time.Now()
-		g.enrolledAt.Store(&now)
+		g.enrolledAt.CompareAndSwap(nil, &now)
 		logger.MemberEnrolled.Log(g.Log, "host", g.Name, "address", g.FleetListener.Addr().String())
+		select {
+		case <-g.enrollAgain:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -19,6 +19,10 @@
 	crashes   *prometheus.CounterVec
 	// withdrawals counts what targets have said of the requests after a response.
 	withdrawals *prometheus.CounterVec
+	// storeEra is one more than how often the store has come back from a copy, or 0 if it does not
+	// tell; countedTokens counts tokens that were counted as drawn after that for other routers.
+	storeEra      prometheus.Gauge
+	countedTokens *prometheus.CounterVec
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -42,9 +46,15 @@
 		withdrawals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_target_withdrawals_total", Help: "Targets that say that they leave or want nothing for a time, by source.",
 		}, []string{"state", "source"}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "egretroute_gateway_store_era", Help: "Era of the platform's store: it rises when the store comes back from a copy.",
+		}),
+		countedTokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_counted_tokens_total", Help: "Tokens counted as drawn after the store came back from a copy, by method.",
+		}, []string{"method"}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals)
+		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.storeEra, m.countedTokens)
 	}
 	return m
 }
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -31,9 +31,8 @@
 	maxPushPeers = 12
 	// companionPingInterval is how often a link to a companion is probed.
 	companionPingInterval = 2 * time.Second
-	// maxCompanions is how many companions a router keeps links to: one in each of a
-	// few failure domains.
-	maxCompanions = 3
+	// maxCompanions is how many companions a router keeps links to: all that record its draws.
+	maxCompanions = maxRecorders
 	// reportBytesPerSecond bounds the exchange of reports in a large fleet, as the
 	// users limit control traffic.
 	reportBytesPerSecond = 1500
@@ -165,7 +164,7 @@
 
 // ServeStream implements linker.Handler.
 func (g *Gateway) ServeStream(s *linker.Stream, first any) {
-	if g.relayServer.Serve(s, first) {
+	if g.relayServer.Serve(s, first) || g.recorder.Serve(s, first) {
 		return
 	}
 	switch m := first.(type) {
@@ -230,21 +229,25 @@
 	}
 	g.peers.mu.Unlock()
 	g.peers.routers.SetMembers(ctx, routers)
-	g.peers.companions.SetMembers(ctx, chooseCompanions(g.Name, companions))
+	linked := make(map[string]string)
+	for _, m := range chooseMembers(g.Name, companions, maxCompanions) {
+		linked[m.Name] = m.Address
+	}
+	g.peers.companions.SetMembers(ctx, linked)
 }
 
-// chooseCompanions picks a few companions by rendezvous hashing, from different
+// chooseMembers picks a few members for a router by rendezvous hashing, from different
 // failure domains where there are some.
-func chooseCompanions(self string, all []enroller.Member) map[string]string {
-	score := func(m enroller.Member) uint64 { return xxhash.Sum64String(self + "/" + m.Name) }
+func chooseMembers(router string, all []enroller.Member, count int) (chosen []enroller.Member) {
+	score := func(m enroller.Member) uint64 { return xxhash.Sum64String(router + "/" + m.Name) }
 	slices.SortFunc(all, func(a, b enroller.Member) int { return cmp.Compare(score(a), score(b)) })
-	chosen := make(map[string]string)
 	domains := make(map[string]bool)
+	taken := make(map[string]bool)
 	for _, sameDomain := range []bool{false, true} {
 		for _, m := range all {
-			if len(chosen) < maxCompanions && domains[m.Domain] == sameDomain && chosen[m.Name] == "" {
-				chosen[m.Name] = m.Address
-				domains[m.Domain] = true
+			if len(chosen) < count && domains[m.Domain] == sameDomain && !taken[m.Name] {
+				chosen = append(chosen, m)
+				domains[m.Domain], taken[m.Name] = true, true
 			}
 		}
 	}
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -97,6 +97,14 @@
 	CrashesNotStored          = Event{355, slog.LevelWarn, "crashes could not be written to the platform's store", "check the store and the link; other routers are still told directly"}
 	CrashesStored             = Event{356, slog.LevelInfo, "crashes are written to the platform's store again", "none"}
 	CrashRowUnreadable        = Event{357, slog.LevelError, "row of crashes is unreadable", "check that all routers run the same release"}
+	StoreEraKnown             = Event{358, slog.LevelInfo, "era of the platform's store is known", "none"}
+	StoreWentBack             = Event{359, slog.LevelWarn, "the platform's store came back from a copy", "none; rows are written again and draws wait until all routers are counted"}
+	HoldingsRebased           = Event{360, slog.LevelInfo, "rows show again what this router has drawn", "none"}
+	DrawsCounted              = Event{361, slog.LevelWarn, "draws of a router were counted after a loss of rows", "none; with method atMost the budgets can't be drawn until they are raised"}
+	DrawsWithheld             = Event{362, slog.LevelWarn, "no draws: routers have not counted theirs since the store came back", "check the named routers; others count for them"}
+	DrawsOpen                 = Event{363, slog.LevelInfo, "draws are open again: all routers are counted", "none"}
+	DrawsNotRecorded          = Event{364, slog.LevelWarn, "draws could not be recorded with other processes and are not made", "check the links to companions"}
+	StaleReplyDropped         = Event{365, slog.LevelWarn, "reply of the store from before its return was dropped", "none"}
 )
 
 // Catalogue lists all events in ascending order of number.
@@ -112,5 +120,5 @@
 	RowsFetchedFromPeer,
 	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	TargetLeaving, TargetPaused, TargetsPaused,
-	BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable,
+	BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped,
 }
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -40,8 +40,15 @@
 	// StartedAt tells apart two starts of a target under one ID; zero if the target
 	// doesn't state it.
 	StartedAt time.Time
-	// Revision is the version of the entry's row at the platform.
+	// Revision is the version of the entry's row at the platform. It only compares to those of
+	// the same Era, which rises when the platform's store comes back from an older copy.
 	Revision uint64
+	Era      uint64
+}
+
+// olderThan reports whether an entry was read before another one of the same target.
+func (e Entry) olderThan(other Entry) bool {
+	return e.Era < other.Era || (e.Era == other.Era && e.Revision < other.Revision)
 }
 
 // target is an entry with the state of its removal.
@@ -57,11 +64,24 @@
 	mu      sync.Mutex // guards all below
 	targets map[string]*target
 	synced  bool
+	// left holds the starts of targets that have left, with the time at which that was known: an
+	// older copy of the platform's store lists them again.
+	left map[string]leftTarget
+}
+
+// leftTarget is one start of a target that has left.
+type leftTarget struct {
+	startedAt time.Time
+	era       uint64
+	at        time.Time
 }
 
+// leftMemory is how long a start that has left is remembered: longer than any copy is old.
+const leftMemory = time.Minute
+
 // New returns an empty Registrar.
 func New() *Registrar {
-	return &Registrar{targets: make(map[string]*target)}
+	return &Registrar{targets: make(map[string]*target), left: make(map[string]leftTarget)}
 }
 
 // Put adds or replaces an entry, unless it has a newer revision already. It reports
@@ -71,7 +91,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, ok := r.targets[e.ID]
-	if ok && old.Revision > e.Revision {
+	if ok && e.olderThan(old.Entry) {
 		return false, false
 	}
 	r.targets[e.ID] = &target{Entry: e}
@@ -93,12 +113,34 @@
 	switch {
 	case !ok:
 	case stable || t.Draining:
-		delete(r.targets, id)
+		r.forget(id, now)
 	case t.removeAt.IsZero():
 		t.removeAt = now.Add(RemovalGrace)
 	}
 }
 
+// forget removes a target that has left.
+func (r *Registrar) forget(id string, now time.Time) {
+	t := r.targets[id]
+	delete(r.targets, id)
+	for other, l := range r.left {
+		if now.Sub(l.at) > leftMemory {
+			delete(r.left, other)
+		}
+	}
+	r.left[id] = leftTarget{startedAt: t.StartedAt, era: t.Era, at: now}
+}
+
+// hasLeft reports whether an entry of an older copy is of a start that is known to leave or
+// to have left.
+func (r *Registrar) hasLeft(e Entry) bool {
+	if old, ok := r.targets[e.ID]; ok {
+		return old.Draining && old.Era < e.Era && old.StartedAt.Equal(e.StartedAt)
+	}
+	l, ok := r.left[e.ID]
+	return ok && l.era < e.Era && l.startedAt.Equal(e.StartedAt)
+}
+
 // Serving reports whether a target is still listed as it was, neither draining nor with a
 // missing entry nor started anew.
 func (r *Registrar) Serving(e Entry) bool {
@@ -120,7 +162,8 @@
 }
 
 // Replace replaces the whole list. Targets that are missing from entries are removed as
-// by Delete.
+// by Delete. After the platform's store has come back from an older copy, targets that leave or
+// have left stay so until they write their entries again.
 func (r *Registrar) Replace(entries []Entry, now time.Time, stable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -128,10 +171,11 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		if old, ok := r.targets[e.ID]; ok && old.Revision == e.Revision {
+		if old, ok := r.targets[e.ID]; ok && old.Era == e.Era && old.Revision == e.Revision {
 			old.removeAt = time.Time{}
 			continue
 		}
+		e.Draining = e.Draining || r.hasLeft(e)
 		r.targets[e.ID] = &target{Entry: e}
 	}
 	for id := range r.targets {
