Loans: requests with one attempt ID share no loan

Cause: the voucher of a loan was the gateway's incarnation and the client's own attempt ID, and a lender that knows a voucher reserves nothing more, as for a repeated call. Requests with one ID at once, at a gateway that borrows, all ran on one reservation. Class: an identity taken from a client where the process needs one of its own.

Each loan now has a number of its own; the ID stays in the voucher, so that explain finds both sides.

--- a/internal/process/gateway/borrow.go
+++ b/internal/process/gateway/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
@@ -35,7 +36,8 @@
 // borrow reserves amount tokens of one of the lenders for a request and reports whether
 // it succeeded.
 func (g *Gateway) borrow(ctx context.Context, q *request, organisation string, amount int64, lenders []string) bool {
-	voucher := g.Incarnation + "/" + q.ID
+	// Clients choose request IDs and may use one twice at once.
+	voucher := g.Incarnation + "/" + strconv.FormatUint(g.loans.Add(1), 10) + "/" + q.ID
 	asked := 0
 	for _, name := range lenders {
 		if asked == maxLenders {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -139,6 +139,8 @@
 	reconciler  *reconciler.Reconciler
 	recorder    *recorder.Recorder
 	enrollAgain chan struct{}
+	// loans counts the loans that this gateway has asked for.
+	loans atomic.Uint64
 	// suspects holds the crashes that the fleet has seen, crashes exchanges them with other
 	// routers.
 	suspects *suspecter.Suspecter
