--- a/internal/process/gateway/eras.go
+++ b/internal/process/gateway/eras.go
@@ -29,16 +29,16 @@
 )
 
 // onEra handles the era of the store's first reply and of each later one that is newer.
-func (g *Gateway) onEra(era storer.Era, first bool) {
+func (g *Gateway) onEra(era storer.Era, first bool, previous storer.Era) {
 	g.metrics.storeEra.Set(float64(era))
 	g.heartbeats.SetEra(era, first)
 	g.allocator.SetEra(era, first)
-	g.reconciler.SetEra(era)
+	g.reconciler.SetEra(era, first, previous)
 	if first {
 		logger.StoreEraKnown.Log(g.Log, "router", g.Name, "era", era)
 		return
 	}
-	logger.StoreWentBack.Log(g.Log, "router", g.Name, "era", era)
+	logger.StoreWentBack.Log(g.Log, "router", g.Name, "era", era, "previous", previous)
 	g.archiver.Forget()
 	select {
 	case g.enrollAgain <- struct{}{}:
@@ -127,7 +127,7 @@
 }
 
 // fetchDraws returns the recorded draws of a router; see reconciler.Reconciler.Fetch.
-func (g *Gateway) fetchDraws(ctx context.Context, router string, minAge time.Duration) (map[string]framer.Draw, bool) {
+func (g *Gateway) fetchDraws(ctx context.Context, router string, minAge time.Duration) (map[string]framer.Draw, recorder.Completeness) {
 	members := g.peers.recordersOf(router)
 	peers := make([]recorder.Peer, len(members))
 	for i, m := range members {
--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -11,12 +11,13 @@
 //
 //	r := &reconciler.Reconciler{Store: store, Router: "router-1", Holdings: allocator, ...}
 //	go r.Run(ctx)
-//	r.SetEra(2) // from storer.Guard.OnEra
+//	r.SetEra(2, false, 1) // from storer.Guard.OnEra
 package reconciler
 
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/process/pauser"
+	"github.com/egretroute/egretroute/internal/process/recorder"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
 
@@ -40,6 +42,8 @@
 	atMostAfter = 8 * time.Second
 	// MaxCopyAge is the age of the oldest copy from which the store comes back.
 	MaxCopyAge = 15 * time.Second
+	// MaxUnseen is how long an era may have lasted when a process starts and sees it first.
+	MaxUnseen = 15 * time.Second
 )
 
 // firstEra is the era of a store that has never come back from a copy.
@@ -72,7 +76,7 @@
 // Counter counts the draws of other routers; see spender.Counter.
 type Counter interface {
 	CountRecorded(ctx context.Context, era storer.Era, router string, draws map[string]framer.Draw) (tokens int64, err error)
-	CountAtMost(ctx context.Context, era storer.Era, limits map[string]int64) (tokens int64, err error)
+	CountAtMost(ctx context.Context, era storer.Era, router string, limits map[string]int64) (tokens int64, err error)
 }
 
 // Reconciler counts draws after each new era. Exported fields are set before the first call.
@@ -91,7 +95,7 @@
 	HasRows func(ctx context.Context, router string) (bool, error)
 	// Fetch returns the draws that other processes remember of a router, and whether these
 	// are all that it has made within minAge.
-	Fetch func(ctx context.Context, router string, minAge time.Duration) (draws map[string]framer.Draw, complete bool)
+	Fetch func(ctx context.Context, router string, minAge time.Duration) (map[string]framer.Draw, recorder.Completeness)
 	// OnCounted is called after a router was counted, OnOpen once all are.
 	OnCounted func(era storer.Era, router string, method Method, tokens int64)
 	OnOpen    func(era storer.Era, after time.Duration)
@@ -100,11 +104,21 @@
 	OnWaiting func(era storer.Era, routers []string)
 
 	mu      sync.Mutex // guards all below
-	era     storer.Era
-	seenAt  time.Time
+	current eraState
 	changed chan struct{}
 }
 
+// eraState is what is known of an era.
+type eraState struct {
+	era storer.Era
+	// seenAt is when this process saw its first reply.
+	seenAt time.Time
+	// lostFor is how long before seenAt the draws that the store has lost may have been made, and
+	// recorded whether routers have recorded them.
+	lostFor  time.Duration
+	recorded bool
+}
+
 // eraRow is a row of the table of eras.
 type eraRow struct {
 	Era    uint64 `json:"era"`
@@ -112,32 +126,36 @@
 	By     string `json:"by"`
 }
 
-// SetEra tells the reconciler the store's era. It must not be called with an older one.
-func (r *Reconciler) SetEra(era storer.Era) {
+// SetEra tells the reconciler the store's era. previous is the one before it, or 0 if this is the
+// first one that the process knows.
+func (r *Reconciler) SetEra(era storer.Era, first bool, previous storer.Era) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.era, r.seenAt = era, time.Now()
+	r.current = eraState{era: era, seenAt: time.Now(), lostFor: MaxCopyAge, recorded: first || previous != 0}
+	if first {
+		r.current.lostFor += MaxUnseen
+	}
 	if r.changed != nil {
 		close(r.changed)
 		r.changed = nil
 	}
 }
 
-func (r *Reconciler) current() (era storer.Era, seenAt time.Time, changed <-chan struct{}) {
+func (r *Reconciler) state() (eraState, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
-	return r.era, r.seenAt, r.changed
+	return r.current, r.changed
 }
 
 // Run reconciles each era until ctx ends.
 func (r *Reconciler) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		era, seenAt, changed := r.current()
-		if era > firstEra {
-			r.reconcile(ctx, era, seenAt)
+		state, changed := r.state()
+		if state.era > firstEra {
+			r.reconcile(ctx, state)
 		}
 		select {
 		case <-changed:
@@ -147,33 +165,33 @@
 }
 
 // reconcile runs until draws are open in an era, a new era has begun, or ctx ends.
-func (r *Reconciler) reconcile(ctx context.Context, era storer.Era, seenAt time.Time) {
+func (r *Reconciler) reconcile(ctx context.Context, state eraState) {
 	told := false
 	for ctx.Err() == nil {
-		if now, _, _ := r.current(); now != era {
+		if now, _ := r.state(); now.era != state.era {
 			return
 		}
-		missing, routers, err := r.missing(ctx, era)
+		missing, routers, err := r.missing(ctx, state.era)
 		switch {
 		case err != nil:
-		case slices.Contains(missing, r.Router):
-			r.countSelf(ctx, era, seenAt)
 		case len(missing) == 0:
-			r.Holdings.SetCounted(era)
-			r.Holdings.OpenDraws(era)
+			r.Holdings.SetCounted(state.era)
+			r.Holdings.OpenDraws(state.era)
 			if r.OnOpen != nil {
-				r.OnOpen(era, time.Since(seenAt))
+				r.OnOpen(state.era, time.Since(state.seenAt))
 			}
 			return
+		case missing[r.Router] != nil:
+			r.countSelf(ctx, state, *missing[r.Router])
 		default:
-			r.Holdings.SetCounted(era)
-			if time.Since(seenAt) >= countAfter {
+			r.Holdings.SetCounted(state.era)
+			if time.Since(state.seenAt) >= countAfter {
 				if !told && r.OnWaiting != nil {
-					r.OnWaiting(era, missing)
+					r.OnWaiting(state.era, slices.Sorted(maps.Keys(missing)))
 				}
 				told = true
-				for _, router := range missing {
-					r.count(ctx, era, seenAt, router)
+				for router, last := range missing {
+					r.count(ctx, state, router, *last)
 				}
 			}
 		}
@@ -181,8 +199,9 @@
 	}
 }
 
-// missing returns the routers that are not counted in an era, and the number of all.
-func (r *Reconciler) missing(ctx context.Context, era storer.Era) (missing []string, routers int, err error) {
+// missing returns the routers that are not counted in an era, with their rows of earlier eras, and
+// the number of all routers.
+func (r *Reconciler) missing(ctx context.Context, era storer.Era) (missing map[string]*eraRow, routers int, err error) {
 	batch, err := r.Store.List(ctx, r.Table)
 	if err != nil {
 		return nil, 0, err
@@ -190,11 +209,11 @@
 	if batch.Era != era {
 		return nil, 0, storer.ErrEraChanged
 	}
-	counted := make(map[string]bool)
+	rows := make(map[string]eraRow)
 	for _, row := range batch.Rows {
 		var w eraRow
-		if err := json.Unmarshal(row.Value, &w); err == nil && storer.Era(w.Era) == era { // another row counts nobody
-			counted[row.Key] = true
+		if err := json.Unmarshal(row.Value, &w); err == nil { // another row counts nobody
+			rows[row.Key] = w
 		}
 	}
 	names, err := r.Routers(ctx)
@@ -204,42 +223,50 @@
 	if !slices.Contains(names, r.Router) {
 		names = append(names, r.Router)
 	}
+	missing = make(map[string]*eraRow)
 	for _, name := range names {
-		if !counted[r.Key(name)] {
-			missing = append(missing, name)
+		if row := rows[r.Key(name)]; storer.Era(row.Era) != era {
+			missing[name] = &row
 		}
 	}
 	return missing, len(names), nil
 }
 
 // countSelf writes this router's row once its own rows show all that it has drawn.
-func (r *Reconciler) countSelf(ctx context.Context, era storer.Era, seenAt time.Time) {
-	rebased, counted := r.Holdings.Rebased(era)
+func (r *Reconciler) countSelf(ctx context.Context, state eraState, last eraRow) {
+	rebased, counted := r.Holdings.Rebased(state.era)
 	switch {
 	case counted && rebased:
-		r.write(ctx, era, r.Router, Own, 0)
+		r.write(ctx, state.era, r.Router, Own, 0)
 	case counted:
 	default:
-		r.count(ctx, era, seenAt, r.Router) // for an earlier incarnation
+		r.count(ctx, state, r.Router, last) // for an earlier incarnation
 	}
 }
 
-// count counts the draws of a router that can't do so itself.
-func (r *Reconciler) count(ctx context.Context, era storer.Era, seenAt time.Time, router string) {
-	minAge := time.Since(seenAt) + MaxCopyAge
-	draws, complete := r.Fetch(ctx, router, minAge)
-	if !complete {
-		if hasRows, err := r.HasRows(ctx, router); err != nil || (hasRows && time.Since(seenAt) < atMostAfter) {
-			return
-		} else if hasRows {
-			if tokens, err := r.Counter.CountAtMost(ctx, era, r.Limits()); err == nil {
-				r.write(ctx, era, router, AtMost, tokens)
-			}
-			return
-		}
+// count counts the draws of a router that can't do so itself. last is the router's row of an
+// earlier era.
+func (r *Reconciler) count(ctx context.Context, state eraState, router string, last eraRow) {
+	elapsed := time.Since(state.seenAt)
+	draws, completeness := r.Fetch(ctx, router, elapsed+state.lostFor)
+	hasRows, err := r.HasRows(ctx, router)
+	if err != nil {
+		return
 	}
-	if tokens, err := r.Counter.CountRecorded(ctx, era, router, draws); err == nil {
-		r.write(ctx, era, router, Recorded, tokens)
+	// Only if the router itself was counted in the era before do all its lost draws date from
+	// just before this era.
+	countedBefore := state.era-1 == firstEra || (storer.Era(last.Era) == state.era-1 && last.Method == Own)
+	complete := completeness == recorder.Complete && countedBefore && state.recorded
+	isNew := !hasRows && last.Era == 0 && completeness != recorder.Unreached
+	switch {
+	case complete || isNew:
+		if tokens, err := r.Counter.CountRecorded(ctx, state.era, router, draws); err == nil {
+			r.write(ctx, state.era, router, Recorded, tokens)
+		}
+	case elapsed >= atMostAfter:
+		if tokens, err := r.Counter.CountAtMost(ctx, state.era, router, r.Limits()); err == nil {
+			r.write(ctx, state.era, router, AtMost, tokens)
+		}
 	}
 }
 
--- a/internal/process/recorder/quorum.go
+++ b/internal/process/recorder/quorum.go
@@ -31,6 +31,9 @@
 // NewQuorum returns the quorum of n peers. It tolerates the loss of as many for writes as for
 // reads, or one more for reads.
 func NewQuorum(n int) Quorum {
+	if n == 0 {
+		return Quorum{}
+	}
 	write := n/2 + 1
 	return Quorum{Write: write, Read: n + 1 - write}
 }
@@ -38,6 +41,9 @@
 // Record records draws with the peers, of which those that can't be reached are nil, and returns
 // once enough have confirmed them.
 func (q Quorum) Record(ctx context.Context, peers []Peer, m *framer.RecordDraws) error {
+	if q.Write == 0 {
+		return nil
+	}
 	confirmed := 0
 	for reply := range ask(ctx, peers, func(ctx context.Context, p Peer) (*framer.DrawsRecorded, error) { return p.Record(ctx, m) }) {
 		if reply == nil {
@@ -50,24 +56,45 @@
 	return errors.Wrapf(ErrNoQuorum, "%d of %d", confirmed, q.Write)
 }
 
-// Fetch returns the newest records of a router's draws. complete is set if enough peers have
-// replied that have run for minAge, so that no record of that time is missing.
-func (q Quorum) Fetch(ctx context.Context, peers []Peer, router string, minAge time.Duration) (draws map[string]framer.Draw, complete bool) {
+// Completeness tells whether fetched records may lack some.
+type Completeness int
+
+// Completeness of fetched records.
+const (
+	// Unreached means that too few peers have replied.
+	Unreached Completeness = iota
+	// Reached means that enough peers have replied, but some may have forgotten records.
+	Reached
+	// Complete means that no record of the time asked for is missing.
+	Complete
+)
+
+// Fetch returns the newest records of a router's draws. They are complete if enough peers have
+// replied that have run for minAge.
+func (q Quorum) Fetch(ctx context.Context, peers []Peer, router string, minAge time.Duration) (draws map[string]framer.Draw, c Completeness) {
 	draws = make(map[string]framer.Draw)
-	replied := 0
+	replied, old := 0, 0
 	m := &framer.FetchDraws{Router: router}
 	for reply := range ask(ctx, peers, func(ctx context.Context, p Peer) (*framer.RecordedDraws, error) { return p.Fetch(ctx, m) }) {
 		if reply == nil {
 			continue
 		}
+		replied++
 		if reply.Age >= minAge {
-			replied++
+			old++
 		}
 		for _, d := range reply.Draws {
 			draws[d.Organisation] = Newer(draws[d.Organisation], d)
 		}
 	}
-	return draws, q.Read > 0 && replied >= q.Read
+	switch {
+	case replied < q.Read:
+		return draws, Unreached
+	case len(peers) == 0 || old < q.Read:
+		return draws, Reached
+	default:
+		return draws, Complete
+	}
 }
 
 // ask calls all peers at once and returns a channel with one result for each, nil if it failed.
--- a/internal/process/recorder/recorder.go
+++ b/internal/process/recorder/recorder.go
@@ -12,7 +12,7 @@
 //
 //	q := recorder.NewQuorum(len(peers))
 //	err := q.Record(ctx, peers, &framer.RecordDraws{Router: "router-1", Draws: draws})
-//	draws, complete := q.Fetch(ctx, peers, "router-1", 15*time.Second)
+//	draws, completeness := q.Fetch(ctx, peers, "router-1", 15*time.Second)
 package recorder
 
 import (
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -73,6 +73,18 @@
 	s, e.Draining = strings.CutSuffix(s, "!")
 	id, revision, _ := strings.Cut(s, ":")
 	e.ID = id
+	revision, start, restarted := strings.Cut(revision, "@")
+	if restarted {
+		var millis int64
+		_, err := fmt.Sscan(start, &millis)
+		assert.NilError(t, err)
+		e.StartedAt = time.UnixMilli(millis)
+	}
+	revision, era, inEra := strings.Cut(revision, "/")
+	if inEra {
+		_, err := fmt.Sscan(era, &e.Era)
+		assert.NilError(t, err)
+	}
 	_, err := fmt.Sscan(revision, &e.Revision)
 	assert.NilError(t, err)
 	return e
--- a/internal/process/spender/allocator_sim_test.go
+++ b/internal/process/spender/allocator_sim_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,6 +184,9 @@
 	return u.tokens
 }
 
+// vouchers numbers the loans of all simulations.
+var vouchers atomic.Int64
+
 // request runs one request that reserves amount tokens and costs cost.
 func (r *simRouter) request(amount, cost int64, lasts time.Duration) {
 	r.mu.Lock()
@@ -193,7 +197,7 @@
 	}
 	allocator.RecordDemand("alpha", amount, time.Now())
 	reservation := &spender.Reservation{Organisation: "alpha", Limit: r.limit, Amount: amount}
-	voucher := fmt.Sprintf("%s/%d/%d", r.name, amount, time.Now().UnixNano())
+	voucher := fmt.Sprintf("%s/%d", r.name, vouchers.Add(1))
 	var lender *spender.Allocator
 	held := false
 	if allocator.Borrows("alpha", time.Now()) {
--- a/internal/process/spender/counter.go
+++ b/internal/process/spender/counter.go
@@ -33,10 +33,28 @@
 	return tokens, nil
 }
 
-func (c *Counter) countDraw(ctx context.Context, era storer.Era, router, organisation string, d framer.Draw) (int64, error) {
+func (c *Counter) countDraw(ctx context.Context, era storer.Era, router, organisation string, d framer.Draw) (missing int64, err error) {
+	err = c.updateHolding(ctx, era, router, organisation, func(h *Holding, b *Budget) bool {
+		if missing = d.Drawn - h.drawn(); h.Commit >= d.Commit || missing == 0 {
+			missing = 0
+			return false
+		}
+		if h.Incarnation == "" || h.Closed {
+			h.Closed = false
+			b.Holders++
+		}
+		h.Held, h.Commit = h.Held+missing, d.Commit
+		h.Allowance = h.Held // the one that the router had is lost too
+		b.Granted += missing
+		return true
+	})
+	return missing, err
+}
+
+// updateHolding changes a router's holding and its budget, unless change returns false.
+func (c *Counter) updateHolding(ctx context.Context, era storer.Era, router, organisation string, change func(h *Holding, b *Budget) bool) error {
 	holdingKey, budgetKey := c.HoldingKey(router, organisation), c.BudgetKey(organisation)
-	var missing int64
-	err := c.update(ctx, era, []string{holdingKey, budgetKey}, func(rows map[string]storer.Row) (map[string][]byte, error) {
+	return c.update(ctx, era, []string{holdingKey, budgetKey}, func(rows map[string]storer.Row) (map[string][]byte, error) {
 		h, err := decodeHolding(rows[holdingKey].Value)
 		if err != nil {
 			return nil, err
@@ -45,47 +63,46 @@
 		if err != nil {
 			return nil, err
 		}
-		if missing = d.Drawn - h.drawn(); h.Commit >= d.Commit || missing == 0 {
-			missing = 0
+		if !change(&h, &b) {
 			return nil, nil
 		}
-		if rows[holdingKey].Version == 0 || h.Closed {
-			h.Closed = false
-			b.Holders++
-		}
-		h.Held, h.Commit = h.Held+missing, d.Commit
-		h.Allowance = h.Held // the one that the router had is lost too
-		b.Granted += missing
+		h.Incarnation = countedIncarnation
 		return map[string][]byte{holdingKey: encodeHolding(h), budgetKey: encodeBudget(b)}, nil
 	})
-	return missing, err
 }
 
-// CountAtMost makes all of the budgets' limits count as drawn, and returns the sum of what was not
-// before. What a limit is raised by later can be drawn.
-func (c *Counter) CountAtMost(ctx context.Context, era storer.Era, limits map[string]int64) (tokens int64, err error) {
+// countedIncarnation stands in holdings that a Counter has written, so that the router doesn't take
+// them for a commit of its own.
+const countedIncarnation = "counted"
+
+// CountAtMost counts all that is not drawn of the budgets' limits as drawn by a router, and returns
+// the sum. What a limit is raised by later can be drawn.
+func (c *Counter) CountAtMost(ctx context.Context, era storer.Era, router string, limits map[string]int64) (tokens int64, err error) {
 	for organisation, limit := range limits {
-		key := c.BudgetKey(organisation)
-		var undrawn int64
-		err := c.update(ctx, era, []string{key}, func(rows map[string]storer.Row) (map[string][]byte, error) {
-			b, err := decodeBudget(rows[key].Value)
-			if err != nil {
-				return nil, err
-			}
-			if undrawn = max(limit-b.Granted, 0); undrawn == 0 {
-				return nil, nil
-			}
-			b.Granted = limit
-			return map[string][]byte{key: encodeBudget(b)}, nil
-		})
+		counted, err := c.withhold(ctx, era, router, organisation, limit)
 		if err != nil {
 			return tokens, err
 		}
-		tokens += undrawn
+		tokens += counted
 	}
 	return tokens, nil
 }
 
+func (c *Counter) withhold(ctx context.Context, era storer.Era, router, organisation string, limit int64) (undrawn int64, err error) {
+	err = c.updateHolding(ctx, era, router, organisation, func(h *Holding, b *Budget) bool {
+		if undrawn = max(limit-b.Granted, 0); undrawn == 0 {
+			return false
+		}
+		if h.Incarnation == "" {
+			h.Closed = true // the router has no row
+		}
+		h.Withheld, h.Commit = h.Withheld+undrawn, h.Commit+1
+		b.Granted = limit
+		return true
+	})
+	return undrawn, err
+}
+
 // maxCountConflicts bounds the attempts at one update.
 const maxCountConflicts = 20
 
--- a/internal/process/spender/eras_sim_test.go
+++ b/internal/process/spender/eras_sim_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -108,7 +107,7 @@
 			batch, err := guard.List(ctx, s.holdingKey(router, ""))
 			return len(batch.Rows) > 0, err
 		},
-		Fetch: func(ctx context.Context, router string, minAge time.Duration) (map[string]framer.Draw, bool) {
+		Fetch: func(ctx context.Context, router string, minAge time.Duration) (map[string]framer.Draw, recorder.Completeness) {
 			return quorum.Fetch(ctx, s.peers(), router, minAge)
 		},
 		OnCounted: func(_ storer.Era, _ string, method reconciler.Method, _ int64) {
@@ -124,7 +123,7 @@
 			s.opens, s.opened = s.opens+1, s.opened+after
 		},
 	}
-	guard.OnEra = func(era storer.Era, first bool) {
+	guard.OnEra = func(era storer.Era, first bool, previous storer.Era) {
 		h.SetEra(era, first)
 		a.SetEra(era, first || s.switches.noRebase)
 		if s.switches.noRebase {
@@ -134,7 +133,7 @@
 			a.SetCounted(era)
 			a.OpenDraws(era)
 		}
-		rec.SetEra(era)
+		rec.SetEra(era, first, previous)
 	}
 	var table spender.HoldingTable = guard
 	if s.switches.noGuard {
@@ -149,16 +148,17 @@
 	go rec.Run(ctx)
 }
 
-// eraSeeds returns how many seeds to simulate: EGRETROUTE_ERA_SEEDS, if set.
-func eraSeeds(t *testing.T, usual uint64) uint64 {
+// eraSeeds returns the first seed to simulate and the one after the last: EGRETROUTE_ERA_SEEDS,
+// as FIRST-END, if set.
+func eraSeeds(t *testing.T, usual uint64) (first, end uint64) {
 	t.Helper()
 	text := os.Getenv("EGRETROUTE_ERA_SEEDS")
 	if text == "" {
-		return usual
+		return 0, usual
 	}
-	n, err := strconv.ParseUint(text, 10, 64)
+	_, err := fmt.Sscanf(text, "%d-%d", &first, &end)
 	assert.NilError(t, err)
-	return n
+	return first, end
 }
 
 // TestNeverOverspentAfterACopy lets the store go away and come back from a copy up to eight
@@ -173,7 +173,8 @@
 		t.Logf("draws were open %d times, %v after the store's return on average; %d routers were counted at most", opens, opened/time.Duration(max(opens, 1)), atMost)
 		assert.Check(t, opens > 0)
 	})
-	for seed := range eraSeeds(t, 150) {
+	first, last := eraSeeds(t, 150)
+	for seed := first; seed < last; seed++ {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
@@ -289,6 +290,9 @@
 	case 0:
 		s.routers[random.IntN(len(s.routers))].kill()
 	case 1:
+		if s.switches.noRecords {
+			return // lost records would be counted at most
+		}
 		s.mu.Lock()
 		s.recorders[random.IntN(simRecorders)] = recorder.New(time.Now)
 		s.mu.Unlock()
--- a/internal/process/spender/holding.go
+++ b/internal/process/spender/holding.go
@@ -61,11 +61,14 @@
 	// Closed is set if the holder holds nothing and is not among the budget's Holders. The row
 	// is kept, as Published tells later what the budget's row contains of it.
 	Closed bool
+	// Withheld is what an earlier incarnation may have drawn, at most, when that can't be known. It
+	// is never used.
+	Withheld int64
 }
 
 // drawn returns the tokens that the holder has drawn and not returned, spent or not.
 func (h Holding) drawn() int64 {
-	return h.Held + h.Unpublished + h.Published
+	return h.Held + h.Unpublished + h.Published + h.Withheld
 }
 
 // Allowance is the allowance that a heartbeat sets between two commits of a holding.
@@ -391,8 +394,9 @@
 	budget *Budget
 	// closes is set if the holding ends.
 	closes bool
-	// rebase is set if the plan ends the account's rebase.
-	rebase bool
+	// rebase is set if the plan ends the account's rebase; rebasedBy is what the budget's row lacked.
+	rebase    bool
+	rebasedBy int64
 	// unanswered is set once the plan was sent without a reply.
 	unanswered bool
 }
--- a/internal/process/spender/holdingcommit.go
+++ b/internal/process/spender/holdingcommit.go
@@ -109,7 +109,12 @@
 		return names, storer.ErrEraChanged // the accounts have dropped their plans
 	case err == nil:
 		for _, name := range names {
-			a.accounts[name].committed(receipt.Version, now)
+			acct := a.accounts[name]
+			if acct.pending.rebase {
+				a.rebasedAccounts++
+				a.rebasedDrawn += acct.pending.rebasedBy
+			}
+			acct.committed(receipt.Version, now)
 		}
 		a.finishRebase()
 		a.batchSize = min(a.batchSize+1, maxCommitRows/2)
@@ -263,7 +268,7 @@
 	return Holding{
 		Incarnation: a.Incarnation, Held: held, Allowance: AllowanceAmount(v, held, a.Heartbeats.AllowancePeriod()), AllowanceGrowth: AllowanceGrowth(v),
 		Commit: acct.lastCommit + 1, Unpublished: acct.held.Unpublished + acct.spent, PublishedReserved: acct.held.PublishedReserved, PublishedRate: acct.held.PublishedRate,
-		Published: acct.held.Published, Closed: acct.held.Closed,
+		Published: acct.held.Published, Closed: acct.held.Closed, Withheld: acct.held.Withheld,
 	}
 }
 
@@ -274,7 +279,7 @@
 	p.held.Published += p.held.Unpublished
 	p.held.Unpublished, p.held.PublishedReserved, p.held.PublishedRate, p.held.Closed = 0, acct.reserved, rate, p.closes
 	if p.closes {
-		p.held = Holding{Incarnation: a.Incarnation, Commit: p.held.Commit, Published: p.held.Published, Closed: true}
+		p.held = Holding{Incarnation: a.Incarnation, Commit: p.held.Commit, Published: p.held.Published, Closed: true, Withheld: p.held.Withheld}
 	}
 	b := acct.budget.publish(before, p.held, change, acct.counted(), !p.closes).withLender(a.Router, spare)
 	p.budget = &b
@@ -389,6 +394,12 @@
 		a.reportUnreadable(name, err)
 		return
 	}
+	if h.Incarnation == countedIncarnation && acct.held.Incarnation == a.Incarnation {
+		// Another router has counted the draws, but this one still runs and knows better.
+		acct.voidVersions(true)
+		a.loadCopy(name, acct, row)
+		return
+	}
 	if acct.pending != nil {
 		if h.Incarnation == a.Incarnation && h.Commit == acct.pending.commit {
 			acct.spent -= acct.pending.settle
@@ -439,7 +450,7 @@
 	again := acct.inherited
 	acct.held = Holding{
 		Held: h.Held - spent, Unpublished: h.Unpublished + spent, PublishedReserved: h.PublishedReserved, PublishedRate: h.PublishedRate,
-		Published: h.Published, Closed: h.Closed,
+		Published: h.Published, Closed: h.Closed, Withheld: h.Withheld,
 	}
 	if h.Closed {
 		return // there is nothing to take over
--- a/internal/process/spender/holdingrow.go
+++ b/internal/process/spender/holdingrow.go
@@ -33,6 +33,7 @@
 	PublishedRate     int64   `json:"shownRate,omitempty"`
 	Published         int64   `json:"shown,omitempty"`
 	Closed            bool    `json:"closed,omitempty"`
+	Withheld          int64   `json:"withheld,omitempty"`
 }
 
 func encodeBudget(b Budget) []byte {
--- a/internal/process/spender/rebase.go
+++ b/internal/process/spender/rebase.go
@@ -175,6 +175,8 @@
 	if p := acct.pending; p != nil && h.Incarnation == a.Incarnation && h.Commit == p.commit {
 		acct.spent -= p.settle
 		acct.held, acct.pending, acct.rebase, acct.inherited = h, nil, false, false
+		a.rebasedAccounts++
+		a.rebasedDrawn += p.rebasedBy
 		a.finishRebase()
 		return
 	}
@@ -193,12 +195,11 @@
 		return nil
 	}
 	v := acct.view(a.Horizon, time.Now())
+	acct.held.Withheld = max(acct.held.Withheld, acct.copied.Withheld) // others may depend on it
 	drawn := acct.held.drawn() - acct.copied.drawn()
 	after := a.nextHolding(acct, v, 0)
 	after.Published += after.Unpublished
 	after.Unpublished, after.PublishedReserved, after.PublishedRate, after.Closed = 0, acct.reserved, int64(v.Rate), false
 	b := acct.budget.rebase(acct.copied, after, drawn, existed).withLender(a.Router, after.Held-acct.reserved)
-	a.rebasedAccounts++
-	a.rebasedDrawn += drawn
-	return &holdingPlan{commit: acct.lastCommit + 1, settle: acct.spent, held: after, budget: &b, rebase: true}
+	return &holdingPlan{commit: acct.lastCommit + 1, settle: acct.spent, held: after, budget: &b, rebase: true, rebasedBy: drawn}
 }
--- a/internal/process/storer/guard.go
+++ b/internal/process/storer/guard.go
@@ -22,8 +22,8 @@
 type Guard struct {
 	Store Store
 	// OnEra is called with the era of the first reply and with each newer one, before the
-	// caller gets the reply. It must not call the store.
-	OnEra func(era Era, first bool)
+	// caller gets the reply, and with the era before. It must not call the store.
+	OnEra func(era Era, first bool, previous Era)
 	// OnStale is called for a dropped reply.
 	OnStale func(reply, newest Era)
 
@@ -102,10 +102,10 @@
 		}
 		return errors.Wrapf(ErrUnavailable, "reply of era %d in era %d", reply, g.era)
 	case !g.known || reply > g.era:
-		first := !g.known
+		first, previous := !g.known, g.era
 		g.era, g.known = reply, true
 		if g.OnEra != nil {
-			g.OnEra(reply, first)
+			g.OnEra(reply, first, previous)
 		}
 	}
 	if known && reply != sent {
--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -26,6 +26,13 @@
 	// lateCommitDelay is the delay after which commits without a reply take effect.
 	lateCommitDelay = 1500 * time.Millisecond
 	slowStoreDelay  = 250 * time.Millisecond
+	// copyInterval is the time between two copies of the store's rows, of which the last
+	// maxCopies may be restored, and copyGap limits the time between two restorations.
+	copyInterval = 500 * time.Millisecond
+	maxCopies    = 12
+	copyGap      = 9 * time.Second
+	// rewriteDelay limits the time until the operator and the targets write again.
+	rewriteDelay = 300 * time.Millisecond
 )
 
 // fault is a temporary fault; begin starts it and returns the function that ends
@@ -107,6 +114,11 @@
 	{"target wants nothing", func(s *Soak, random *rand.Rand) func() { return s.pause(pick(random, s.targets), random) }},
 }
 
+// restorations are drawn from a sequence of their own too.
+var restorations = []fault{
+	{"store comes back from a copy", func(s *Soak, random *rand.Rand) func() { return s.restoreCopy(random) }},
+}
+
 // endlessResponses are drawn from a sequence of their own too.
 var endlessResponses = []fault{
 	{"response without end", func(s *Soak, random *rand.Rand) func() {
@@ -211,6 +223,38 @@
 	}
 }
 
+// restoreCopy lets the store refuse all calls and returns a function that lets it come back from a
+// copy of its rows.
+func (s *Soak) restoreCopy(random *rand.Rand) func() {
+	s.mu.Lock()
+	s.storeFaultCount++
+	id := s.storeFaultCount
+	s.mu.Unlock()
+	s.store.SetFaults(s.withIgnoredConditions(platformtest.Faults{Status: http.StatusServiceUnavailable}))
+	return func() {
+		s.mu.Lock()
+		restored := pick(random, s.copies)
+		rewrite := s.store.Restore(restored)
+		if s.storeFaultCount == id { // otherwise a later fault has replaced this one
+			s.store.SetFaults(s.withIgnoredConditions(platformtest.Faults{}))
+		}
+		s.mu.Unlock()
+		time.Sleep(randomDuration(random, rewriteDelay))
+		rewrite()
+	}
+}
+
+// keepCopies takes copies of the store's rows until ctx ends.
+func (s *Soak) keepCopies(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		s.copies = append(s.copies, s.store.Copy())
+		s.copies = s.copies[max(len(s.copies)-maxCopies, 0):]
+		s.mu.Unlock()
+		sleep(ctx, copyInterval)
+	}
+}
+
 // reconfigure writes the next version of the configuration with one change:
 // another route, a larger budget, or a key revoked or restored.
 func (s *Soak) reconfigure(random *rand.Rand) {
@@ -234,6 +278,9 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	end := time.Now().Add(s.FaultDuration)
+	copiesCtx, stopCopies := context.WithCancel(ctx)
+	defer stopCopies()
+	go s.keepCopies(copiesCtx)
 	wg.Go(func() {
 		random := rand.New(rand.NewPCG(s.Seed, 2))
 		// One fault of this list is to be about as frequent as one of the other.
@@ -256,6 +303,11 @@
 		sleep(ctx, randomDuration(random, endlessGap))
 		s.injectSequence(ctx, &wg, end, random, endlessResponses, endlessGap)
 	})
+	wg.Go(func() {
+		random := rand.New(rand.NewPCG(s.Seed, 6))
+		sleep(ctx, randomDuration(random, copyGap))
+		s.injectSequence(ctx, &wg, end, random, restorations, copyGap)
+	})
 	s.injectSequence(ctx, &wg, end, s.random, faults, maxGap)
 }
 
--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -78,6 +78,7 @@
 	mu              sync.Mutex // guards the fields below
 	configuration   platformtest.Configuration
 	storeFaultCount int
+	copies          []platformtest.Copy
 	crashingCount   int
 }
 
@@ -103,6 +104,7 @@
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
 	s.store = platformtest.NewStore()
 	defer s.store.Close()
+	s.store.SetEra(0)
 	var err error
 	if s.log, err = os.Create(filepath.Join(s.Dir, "soak.log")); err != nil {
 		return nil, errors.Wrap(err, "create log")
