Clients' connections are bounded: a hot organisation's burst leaves no connection unaccepted

Cause: clients return on ever new connections and leave the old ones idle, until accept fails for want of descriptors. net/http then waits, and a request that is read at last has its deadline anew. Ruled out: processor time (0.07 of 0.304 cores at most).

Change: request/limiter decides from open and idle connections: from three quarters of the bound (three fifths of the process's descriptors, maxDescriptors) idle ones are closed, oldest first, and responses close theirs; at the bound requests are refused at once.

--- a/cmd/egretroute/gateway.go
+++ b/cmd/egretroute/gateway.go
@@ -4,6 +4,8 @@
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
+	"math"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -28,6 +30,10 @@
 		Name: s.Name, Incarnation: newIncarnation(s.Name), Domain: s.Domain,
 		Store: platform.NewStore(s.Store, s.StoreTimeout), HeaderCodec: platform.HeaderCodec{}, Schema: platformSchema(),
 		Secret: []byte(s.Secret), Seeds: s.Seeds, Limits: gatewayLimits(s), Log: log, Registry: registry,
+		MaxDescriptors: s.MaxDescriptors,
+	}
+	if g.MaxDescriptors == 0 {
+		g.MaxDescriptors = descriptorLimit()
 	}
 	reload.OnChange = func(s *configurer.Gateway) {
 		g.SetLimits(gatewayLimits(s))
@@ -51,6 +57,15 @@
 	return g, err
 }
 
+// descriptorLimit returns the process's own limit of open descriptors, or 0 if it has none.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
 func gatewayLimits(s *configurer.Gateway) gateway.Limits {
 	return gateway.Limits{
 		DrainDelay: s.LeaveTime, ShutdownTimeout: s.ShutdownLimit, StockHorizon: s.StockHorizon,
--- a/internal/process/configurer/gateway.go
+++ b/internal/process/configurer/gateway.go
@@ -20,6 +20,8 @@
 	RetryWindow    time.Duration
 	RetrySlack     float64
 	StockHorizon   time.Duration
+	// MaxDescriptors is 0 unless the file sets it.
+	MaxDescriptors int
 }
 
 type gatewayFile struct {
@@ -39,6 +41,7 @@
 	RetryWindow    string   `toml:"retryWindow"`
 	RetrySlack     *float64 `toml:"retrySlack"`
 	StockHorizon   string   `toml:"stockHorizon"`
+	MaxDescriptors *float64 `toml:"maxDescriptors"`
 }
 
 const (
@@ -47,6 +50,9 @@
 	// maxRetryRatio and maxRetrySlack are far above any useful budget.
 	maxRetryRatio = 100
 	maxRetrySlack = 1e9
+	// minDescriptors leaves some for targets and the store.
+	minDescriptors = 100
+	maxDescriptors = 1e9
 	// defaultLeaveTime is longer than two intervals of a load balancer that probes
 	// readiness once a second.
 	defaultLeaveTime = 2500 * time.Millisecond
@@ -78,6 +84,8 @@
 		RetryWindow:   c.duration("retryWindow", f.RetryWindow, 10*time.Second, time.Second, time.Hour),
 		RetrySlack:    c.number("retrySlack", f.RetrySlack, 0, 0, maxRetrySlack),
 		StockHorizon:  c.duration("stockHorizon", f.StockHorizon, defaultStockHorizon, time.Second, time.Hour),
+
+		MaxDescriptors: int(c.number("maxDescriptors", f.MaxDescriptors, 0, minDescriptors, maxDescriptors)),
 	}
 	if f.MetricsAddress != "" {
 		s.MetricsAddress = c.address("metricsAddress", f.MetricsAddress)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/egretroute/egretroute/internal/connection/exchanger"
+	"github.com/egretroute/egretroute/internal/connection/limiter"
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/connection/relayer"
 	"github.com/egretroute/egretroute/internal/process/archiver"
@@ -104,6 +105,9 @@
 	HeaderCodec HeaderCodec
 	Schema      PlatformSchema
 	Limits      Limits
+	// MaxDescriptors is how many descriptors the process may open; 0 means that clients'
+	// connections are not bounded.
+	MaxDescriptors int
 	// Background functions run until the gateway has stopped.
 	Background []func(ctx context.Context)
 	Log        *slog.Logger
@@ -127,10 +131,13 @@
 	activeRequests atomic.Int64
 	feeds          sync.Map // table to feedState
 	clientServer   *http.Server
-	workers        sync.WaitGroup
-	peers          *peerLinks
-	rowCache       *rowCache
-	relayServer    *relayer.Server
+	// clients bounds clients' connections; levelLoggedAt is when its level was last logged.
+	clients       *limiter.Limiter
+	levelLoggedAt atomic.Pointer[time.Time]
+	workers       sync.WaitGroup
+	peers         *peerLinks
+	rowCache      *rowCache
+	relayServer   *relayer.Server
 	// store calls Store directly or relays calls through other processes, and keeps replies of
 	// different eras apart.
 	store Store
@@ -192,7 +199,8 @@
 	g.archiver = g.newArchiver()
 	g.relayServer = &relayer.Server{Store: g.Store}
 	g.retries = &retrier.Budget{Limits: func() retrier.Limits { return g.limits.Load().Retries }}
-	g.metrics = newMetrics(g.Registry)
+	g.clients = g.newClientLimiter()
+	g.metrics = newMetrics(g.Registry, func() float64 { return float64(g.clients.Open()) })
 	g.heartbeats = &spender.Heartbeater{
 		CollectAllowances: func(collect func(map[string]spender.Allowance)) { g.allocator.CollectAllowances(collect) }, OnConfirmed: func() { g.allocator.HeartbeatConfirmed() },
 		Table: g.store, Incarnation: g.Incarnation, Key: g.Schema.RowKey("beats", g.Name+heartbeatsSuffix, g.Name),
@@ -223,7 +231,7 @@
 	g.workers.Go(func() { g.allocator.Run(allocatorCtx) })
 	g.clientServer = &http.Server{
 		Handler: http.HandlerFunc(g.serveRequest), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: g.clients.ConnState, ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelDebug),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, run := range g.Background {
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -147,6 +147,9 @@
 	if ref := g.admit(out.w, q); ref != nil {
 		return ref
 	}
+	if ref := g.limitConnection(out.w.Header()); ref != nil {
+		return ref
+	}
 	if ref := g.refuseIfPoison(q); ref != nil {
 		return ref
 	}
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -25,7 +25,7 @@
 	countedTokens *prometheus.CounterVec
 }
 
-func newMetrics(r *prometheus.Registry) *metrics {
+func newMetrics(r *prometheus.Registry, clientConnections func() float64) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_requests_total", Help: "Requests by route kind and outcome.",
@@ -54,7 +54,9 @@
 		}, []string{"method"}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.storeEra, m.countedTokens)
+		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.storeEra, m.countedTokens, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "egretroute_gateway_client_connections", Help: "Open connections of clients.",
+		}, clientConnections))
 	}
 	return m
 }
