Allocator: a commit whose draws can't be recorded is not taken for none

A gateway that stopped while companions were unreachable ended with its tokens still held. Cause: the failed record was returned as a commit without accounts, which counts as nothing left to do; found by reading. Settlements, which need no record, now go on, and Close tries again.

--- a/internal/process/spender/holdingcommit.go
+++ b/internal/process/spender/holdingcommit.go
@@ -43,6 +43,9 @@
 		if sent, err = a.flushScope(ctx, sc, started, urgent, closing); sent {
 			clean = false
 		}
+		if errors.Is(err, errUnrecorded) {
+			continue // settlements need no record
+		}
 		if err != nil && !errors.Is(err, storer.ErrConflict) {
 			break
 		}
@@ -96,7 +99,7 @@
 		return nil, nil
 	}
 	if err := a.record(ctx, draws); err != nil {
-		return nil, err
+		return names, err
 	}
 	receipt, err := a.Table.CommitWithReceipt(ctx, c)
 	now := time.Now()
--- a/internal/process/spender/record.go
+++ b/internal/process/spender/record.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretroute/egretroute/internal/connection/framer"
 )
 
+// errUnrecorded is returned for a commit that is not sent, since its draws could not be recorded.
+var errUnrecorded = errors.New("draws are not recorded")
+
 // record makes other processes remember draws before the commit that makes them. If this process
 // dies in the moment in which the store comes back from a copy without the commit, they still
 // know of it.
@@ -14,7 +19,7 @@
 		return nil
 	}
 	if err := a.Record(ctx, draws); err != nil {
-		return err
+		return errors.Wrap(errUnrecorded, err.Error())
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
