Allocator: attempts to commit are paced while draws can't be recorded

Cause: flush forgot that a draw was not recorded as soon as the settlements after it succeeded, so the allocator did not count as failing: each waiting request caused a flush, and a flush that fails at once was followed by no pause.

The same pause follows commits that the store refuses.

--- a/internal/process/spender/allocator.go
+++ b/internal/process/spender/allocator.go
@@ -38,6 +38,9 @@
 	intervalFactor = 8
 	maxInterval    = 3 * time.Second
 	maxPause       = 500 * time.Millisecond
+	// failurePause is the least pause after a flush that failed. A refusal may take no time, and
+	// each request that waits for tokens requests a flush.
+	failurePause = 50 * time.Millisecond
 	// publishInterval is the least time between two updates of a holder's figures in a
 	// budget's row, unless tokens move: a few settlement intervals.
 	publishInterval = 3 * time.Second
@@ -363,10 +366,20 @@
 		if !urgent {
 			timer.Reset(a.nextInterval(elapsed))
 		}
-		pauser.Pause(ctx, min(elapsed, maxPause))
+		pauser.Pause(ctx, a.pauseAfter(elapsed))
 	}
 }
 
+// pauseAfter returns the pause after a flush that took elapsed.
+func (a *Allocator) pauseAfter(elapsed time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.failing {
+		elapsed = max(elapsed, failurePause)
+	}
+	return min(elapsed, maxPause)
+}
+
 // nextInterval returns the time until the next flush after one that took elapsed. A store
 // that is slow or refuses calls gets fewer of them, since queued commits only take longer.
 func (a *Allocator) nextInterval(elapsed time.Duration) time.Duration {
--- a/internal/process/spender/holdingcommit.go
+++ b/internal/process/spender/holdingcommit.go
@@ -35,6 +35,7 @@
 	}
 	clean = true
 	var err error
+	unrecorded := false
 	started := time.Now()
 	a.checkExhausted(ctx)
 	a.readCopies(ctx)
@@ -44,6 +45,7 @@
 			clean = false
 		}
 		if errors.Is(err, errUnrecorded) {
+			unrecorded = true
 			continue // settlements need no record
 		}
 		if err != nil && !errors.Is(err, storer.ErrConflict) {
@@ -52,7 +54,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.failing = err != nil && !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrEraChanged)
+	a.failing = unrecorded || (err != nil && !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrEraChanged))
 	a.wakeWaiters()
 	return clean
 }
--- a/internal/process/spender/record_test.go
+++ b/internal/process/spender/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
 
@@ -45,3 +47,34 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestFailedCommitsArePaced has a request each millisecond while draws can't be recorded. Each request
+// caused an attempt of its own, several hundred a second.
+func TestFailedCommitsArePaced(t *testing.T) {
+	const limit = 25 // attempts in a second
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{Memory: storer.NewMemory(), random: rand.New(rand.NewPCG(1, 1))}
+		store.SetEra(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &simRouter{name: "router-1", store: store, usage: &usage{}, limit: 1_000_000, horizon: 10 * time.Second}
+		var attempts atomic.Int64
+		r.connect = func(_ context.Context, _ *simRouter, _ *spender.Heartbeater, a *spender.Allocator) {
+			a.Record = func(context.Context, []framer.Draw) error {
+				attempts.Add(1)
+				return errors.New("no quorum")
+			}
+			a.SetEra(1, true)
+		}
+		r.start(ctx)
+		time.Sleep(3 * time.Second)
+		attempts.Store(0)
+		for range 1000 {
+			go r.request(1000, 900, time.Second)
+			time.Sleep(time.Millisecond)
+		}
+		got := attempts.Load()
+		assert.Assert(t, got > 0 && got <= limit, "%d attempts in a second, at most %d allowed", got, limit)
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
