Members that enrolled within the lost time are enrolled again by routers that know them

A router that lists the members in a new era writes the rows that it knows and that are missing, if nobody else has. Line 364 is written once when draws can no longer be recorded; line 366 when they can be again.

--- a/internal/process/gateway/eras.go
+++ b/internal/process/gateway/eras.go
@@ -5,10 +5,13 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/reconciler"
 	"github.com/egretroute/egretroute/internal/process/recorder"
 	"github.com/egretroute/egretroute/internal/process/spender"
@@ -31,6 +34,7 @@
 // onEra handles the era of the store's first reply and of each later one that is newer.
 func (g *Gateway) onEra(era storer.Era, first bool, previous storer.Era) {
 	g.metrics.storeEra.Set(float64(era))
+	g.era.Store(uint64(era))
 	g.heartbeats.SetEra(era, first)
 	g.allocator.SetEra(era, first)
 	g.reconciler.SetEra(era, first, previous)
@@ -46,6 +50,38 @@
 	}
 }
 
+// maxRestoredRows is how many rows one commit may write: the platform allows 100 entries in a
+// commit, and each row takes two.
+const maxRestoredRows = 50
+
+// restoreMembers writes the rows of members that this router knows and that the store has lost.
+// Companions don't see that it came back from a copy.
+func (g *Gateway) restoreMembers(ctx context.Context, listed []storer.Row) {
+	lost := g.rowCache.membersWithout(listed)
+	for len(lost) > 0 && ctx.Err() == nil {
+		batch := lost[:min(len(lost), maxRestoredRows)]
+		c := storer.Commit{Era: storer.Era(g.era.Load())}
+		for _, row := range batch {
+			c.Update(row.Key, 0, row.Value)
+		}
+		_, err := g.store.CommitWithReceipt(ctx, c)
+		var conflict *storer.ConflictError
+		switch {
+		case err == nil:
+			logger.MembersRestored.Log(g.Log, "rows", len(batch), "era", c.Era)
+			lost = lost[len(batch):]
+		case errors.As(err, &conflict) && len(conflict.Rows) > 0: // others have restored some
+			lost = slices.DeleteFunc(lost, func(row storer.Row) bool {
+				return slices.ContainsFunc(conflict.Rows, func(r storer.Row) bool { return r.Key == row.Key })
+			})
+		case errors.Is(err, storer.ErrEraChanged):
+			return // the members are listed again
+		default:
+			pauser.Pause(ctx, feedBackoff)
+		}
+	}
+}
+
 func (g *Gateway) onStaleReply(reply, newest storer.Era) {
 	logger.StaleReplyDropped.Log(g.Log, "era", reply, "newest", newest)
 }
@@ -114,14 +150,20 @@
 	if _, ok := g.feeds.Load(membersTable); !ok {
 		return recorder.ErrNoQuorum // the members are not known yet
 	}
+	startedAt := time.Now()
 	members := g.peers.recordersOf(g.Name)
 	peers := make([]recorder.Peer, len(members))
 	for i, m := range members {
 		peers[i] = g.peers.recorderPeer(m)
 	}
 	err := recorder.NewQuorum(len(peers)).Record(ctx, peers, &framer.RecordDraws{Router: g.Name, Draws: draws})
-	if err != nil {
+	switch {
+	case err != nil && g.unrecordedSince.CompareAndSwap(nil, &startedAt):
 		logger.DrawsNotRecorded.Log(g.Log, "router", g.Name, "organisations", len(draws), "error", err)
+	case err == nil:
+		if since := g.unrecordedSince.Swap(nil); since != nil {
+			logger.DrawsRecorded.Log(g.Log, "router", g.Name, "after", time.Since(*since))
+		}
 	}
 	return err
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -146,6 +146,10 @@
 	reconciler  *reconciler.Reconciler
 	recorder    *recorder.Recorder
 	enrollAgain chan struct{}
+	// era is the store's newest era known.
+	era atomic.Uint64
+	// unrecordedSince is when draws could no longer be recorded, nil while they can be.
+	unrecordedSince atomic.Pointer[time.Time]
 	// loans counts the loans that this gateway has asked for.
 	loans atomic.Uint64
 	// suspects holds the crashes that the fleet has seen, crashes exchanges them with other
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -195,6 +195,9 @@
 				g.applyMember(row)
 			}
 			g.updateLinks(ctx)
+			if storer.Era(g.era.Load()).Restored() {
+				g.workers.Go(func() { g.restoreMembers(ctx, rows) })
+			}
 		},
 	})
 }
--- a/internal/process/gateway/rowcache.go
+++ b/internal/process/gateway/rowcache.go
@@ -55,6 +55,22 @@
 	}
 }
 
+// membersWithout returns the cached members that are not among rows.
+func (c *rowCache) membersWithout(rows []storer.Row) (missing []storer.Row) {
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[row.Key] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, row := range c.members {
+		if !listed[key] {
+			missing = append(missing, row)
+		}
+	}
+	return missing
+}
+
 // message returns all cached rows for a peer.
 func (c *rowCache) message() *framer.RowCache {
 	c.mu.Lock()
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -106,6 +106,8 @@
 	DrawsOpen                 = Event{363, slog.LevelInfo, "draws are open again: all routers are counted", "none"}
 	DrawsNotRecorded          = Event{364, slog.LevelWarn, "draws could not be recorded with other processes and are not made", "check the links to companions"}
 	StaleReplyDropped         = Event{365, slog.LevelWarn, "reply of the store from before its return was dropped", "none"}
+	DrawsRecorded             = Event{366, slog.LevelInfo, "draws are recorded with other processes again", "none"}
+	MembersRestored           = Event{367, slog.LevelInfo, "rows of members that the platform's store has lost were written again", "none"}
 )
 
 // Catalogue lists all events in ascending order of number.
@@ -121,5 +123,5 @@
 	RowsFetchedFromPeer,
 	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	TargetLeaving, TargetPaused, TargetsPaused,
-	ClientConnections, BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped,
+	ClientConnections, BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped, DrawsRecorded, MembersRestored,
 }
--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -46,9 +46,6 @@
 	MaxUnseen = 15 * time.Second
 )
 
-// firstEra is the era of a store that has never come back from a copy.
-const firstEra storer.Era = 1
-
 // Method is how a router's draws were counted.
 type Method string
 
@@ -154,7 +151,7 @@
 func (r *Reconciler) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		state, changed := r.state()
-		if state.era > firstEra {
+		if state.era.Restored() {
 			r.reconcile(ctx, state)
 		}
 		select {
@@ -255,7 +252,7 @@
 	}
 	// Only if the router itself was counted in the era before do all its lost draws date from
 	// just before this era.
-	countedBefore := state.era-1 == firstEra || (storer.Era(last.Era) == state.era-1 && last.Method == Own)
+	countedBefore := !(state.era - 1).Restored() || (storer.Era(last.Era) == state.era-1 && last.Method == Own)
 	complete := completeness == recorder.Complete && countedBefore && state.recorded
 	isNew := !hasRows && last.Era == 0 && completeness != recorder.Unreached
 	switch {
--- a/internal/process/spender/rebase.go
+++ b/internal/process/spender/rebase.go
@@ -21,9 +21,9 @@
 func (a *Allocator) SetEra(era storer.Era, first bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.era, a.drawsClosed = era, losesRows(era)
+	a.era, a.drawsClosed = era, era.Restored()
 	if first || !a.inheritedAll {
-		a.uncounted = losesRows(era)
+		a.uncounted = era.Restored()
 	}
 	if first {
 		return
@@ -37,14 +37,6 @@
 	a.wake()
 }
 
-// losesRows reports whether rows may have been lost before an era: not in the first one.
-func losesRows(era storer.Era) bool {
-	return era > firstEra
-}
-
-// firstEra is the era of a store that has never come back from a copy.
-const firstEra storer.Era = 1
-
 // voidVersions drops what depends on versions of an earlier era. rowsKnown tells whether all rows
 // of this router were read in that era.
 func (a *holdingAccount) voidVersions(rowsKnown bool) {
--- a/internal/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -47,6 +47,12 @@
 // versions of different eras can't be compared. It is 0 if the table does not tell its era.
 type Era uint64
 
+// Restored reports whether the table has ever come back from a copy. The first era of a table
+// that tells it is 1.
+func (e Era) Restored() bool {
+	return e > 1
+}
+
 // ConflictError is an ErrConflict with the current rows of the commit's conditions.
 type ConflictError struct {
 	// Rows holds the rows that exist.
