Router: requests in progress are limited by processor time; what waited unread counts

Cause: the zone's only router gets 1,000 requests a second and can forward some 250. All of them ran at once, so each of them, and each new connection, waited for seconds in the process; a request's deadline began when it was read. Ruled out: memory and garbage collection (heap below 80 MB, 10% of the processor time), descriptors (at most 1,600 of 2,520), stalls of the process (lines of a log this large are not all shown; counters go on meanwhile).

Change: the process measures every 20 ms how late it is. admitter.Concurrency lowers the limit of requests in progress while it is late, and leaves each organisation an equal share of it. The first request on a connection has begun when the connection was accepted; while the process is late, the kernel is asked whether a client has left before a request is sent on. Errors of accept are in the log.

--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -61,6 +61,10 @@
 		if q.deadline.Sub(now) < minAttemptTime {
 			return timedOut(q)
 		}
+		if g.clientHasLeft(q) {
+			q.outcome = outcomeDisconnected
+			return nil
+		}
 		target, ref := g.place(ctx, out, q, shape, now)
 		if ref != nil {
 			return ref
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -152,6 +152,9 @@
 	// unrecordedSince is when draws could no longer be recorded, nil while they can be.
 	unrecordedSince atomic.Pointer[time.Time]
 	shortages       admitter.Shortages
+	// lag is the last measurement of how late the process is.
+	lag         atomic.Pointer[lagSample]
+	concurrency admitter.Concurrency
 	// loans counts the loans that this gateway has asked for.
 	loans atomic.Uint64
 	// suspects holds the crashes that the fleet has seen, crashes exchanges them with other
@@ -228,6 +231,7 @@
 	g.workers.Go(func() { g.followCrashes(workCtx) })
 	g.workers.Go(func() { g.archiver.Run(workCtx) })
 	g.workers.Go(func() { g.pushReports(workCtx) })
+	g.workers.Go(func() { g.watchLag(workCtx) })
 	g.workers.Go(func() { g.fetchFromPeers(workCtx) })
 	g.workers.Go(func() { g.enroll(workCtx) })
 	g.workers.Go(func() { g.reconciler.Run(workCtx) })
@@ -237,8 +241,8 @@
 	g.workers.Go(func() { g.allocator.Run(allocatorCtx) })
 	g.clientServer = &http.Server{
 		Handler: http.HandlerFunc(g.serveRequest), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: g.clients.ConnState,
-		ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: g.clients.ConnState, ConnContext: connContext,
+		ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelWarn),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, run := range g.Background {
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -46,9 +46,12 @@
 type request struct {
 	RequestMetadata
 	http *http.Request
+	// conn is the client's connection, nil if it isn't known.
+	conn *clientConn
 	body []byte
 	// digest is the same for all requests with the same contents; see suspecter.
-	digest       string
+	digest string
+	// startedAt is when the request has arrived, as far as that is known.
 	startedAt    time.Time
 	deadline     time.Time
 	matcher      *matcher.Matcher
@@ -121,6 +124,9 @@
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	q := &request{http: r, startedAt: time.Now(), triedRuns: make(map[string]bool)}
+	if conn, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
+		q.conn, q.startedAt = conn, conn.arrivedAt(q.startedAt, g.currentLag(q.startedAt))
+	}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -150,6 +156,11 @@
 	if ref := g.limitConnection(out.w.Header()); ref != nil {
 		return ref
 	}
+	leave, ref := g.refuseInOverload(out.w.Header(), q)
+	if ref != nil {
+		return ref
+	}
+	defer leave()
 	if ref := g.refuseIfPoison(q); ref != nil {
 		return ref
 	}
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -90,6 +90,7 @@
 	TargetPaused              = Event{346, slog.LevelInfo, "target wants no requests from this router for a time", "none; many of them mean that the service is at capacity"}
 	TargetsPaused             = Event{347, slog.LevelWarn, "no target left: some want no requests for a time", "too few targets, or too much load: see paused and notBefore"}
 	ClientConnections         = Event{348, slog.LevelWarn, "number of clients' connections is near or at its bound, or no longer so", "see level; find the organisation with the most lines 341 of these seconds"}
+	Overload                  = Event{349, slog.LevelWarn, "router has too little processor time for its requests, or no longer so", "see limited; find the organisation with the most lines 341 of these seconds"}
 	BudgetCommitFailed        = Event{350, slog.LevelWarn, "commit of budget rows failed", "check the platform's store; spending continues from the tokens held"}
 	BudgetRowUnreadable       = Event{351, slog.LevelError, "budget row is unreadable", "check that all routers run the same release"}
 	HoldingRecovered          = Event{352, slog.LevelWarn, "holding of an earlier incarnation taken over", "none; tokens that it may have spent count as spent"}
@@ -123,5 +124,5 @@
 	RowsFetchedFromPeer,
 	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	TargetLeaving, TargetPaused, TargetsPaused,
-	ClientConnections, BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped, DrawsRecorded, MembersRestored,
+	ClientConnections, Overload, BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped, DrawsRecorded, MembersRestored,
 }
