A crash that looks like silence: the end of a target's start counts against what it left unanswered

What callers saw: a request under which its target's whole host goes dark for 2.5 s, with no refusal and no reset, is never known as the cause, at any router.

Cause: a crash was recognised by one thing only, a refused connection within 100 ms. A host that is dark refuses nothing; its target then starts again, under its ID or a new one.

Change: requests that ended without an answer (deadline, client gone, connection lost) are kept for 15 s with the start of the target that ran them, 64 for each target. If that start ends (listed with a later start, another target listed at its address, entry lapsed) without having announced it and without any response since, it has crashed under them: they are observed like others, told to peers and stored. A response from that start clears what was abandoned more than 100 ms before. Targets that hang and live keep their entry, so their requests are never suspected.

--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -27,9 +27,6 @@
 	// probeTimeout bounds the dials that tell a crash from a broken connection. A refusal,
 	// the only answer that counts, usually takes one round trip.
 	probeTimeout = 100 * time.Millisecond
-	// abandonedCheckDelay is how long after its cancelation a request may crash its target:
-	// about as long as a plain service runs a request.
-	abandonedCheckDelay = 100 * time.Millisecond
 	// maxCrashesPerRequest is how many targets one request may crash, whether it or one
 	// that ran beside it is to blame.
 	maxCrashesPerRequest = 2
@@ -58,24 +55,7 @@
 func (g *Gateway) recordCrashUnder(q *request, target registrar.Entry) {
 	q.crashes++
 	g.recordCrash(q.ID, target, suspecter.Observation{
-		Digest: q.digest, Run: q.targetStart, At: time.Now(), Isolated: q.verdict == suspecter.Suspect && g.tracker.runningAt(target.ID) == 1,
-	})
-}
-
-// recordAbandoned records that a request was canceled while a target ran it, and checks
-// shortly after whether the target has crashed all the same.
-func (g *Gateway) recordAbandoned(q *request, target registrar.Entry) {
-	start := q.targetStart
-	if !g.tracker.recordAbandoned(target.ID, abandonedRequest{id: q.ID, digest: q.digest, run: start}) {
-		return // the check is pending
-	}
-	time.AfterFunc(abandonedCheckDelay, func() {
-		crashed := g.hasCrashed(context.Background(), target)
-		for _, r := range g.tracker.takeAbandoned(target.ID) {
-			if crashed && r.run == start {
-				g.recordCrash(r.id, target, suspecter.Observation{Digest: r.digest, Run: r.run, At: time.Now()})
-			}
-		}
+		Digest: q.digest, Run: q.targetStart, At: time.Now(), Isolated: g.runsIsolated(q, target),
 	})
 }
 
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -267,8 +267,12 @@
 	}
 	ejection := g.tracker.recordLoss(target.ID, time.Now())
 	g.pool.CloseIdle(target.Address)
-	if result == resultFailed && ctx.Err() == nil && g.hasCrashed(ctx, target) {
-		g.recordCrashUnder(q, target)
+	if result == resultFailed && ctx.Err() == nil {
+		if g.hasCrashed(ctx, target) {
+			g.recordCrashUnder(q, target)
+		} else {
+			g.recordAbandoned(q, target)
+		}
 	}
 	event := logger.AttemptFailed
 	if errors.Is(err, exchanger.ErrEndless) {
@@ -283,6 +287,7 @@
 func (g *Gateway) copyResponse(ctx context.Context, out *clientResponse, q *request, target registrar.Entry, resp *exchanger.Response) attemptResult {
 	metadata := g.HeaderCodec.DecodeResponse(resp.Status, resp.Header)
 	q.status = resp.Status
+	g.tracker.clearAbandoned(target.ID, q.targetStart, time.Now())
 	g.recordWithdrawal(q, target, metadata)
 	if metadata.NotRun {
 		g.metrics.attempts.WithLabelValues("notRun").Inc()
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -36,9 +36,8 @@
 type targetState struct {
 	assessor.Target
 	// start is the newest start of the target that this router knows.
-	start time.Time
-	// abandoned are the requests that this router has canceled there lately.
-	abandoned []abandonedRequest
+	start     time.Time
+	abandoned abandonedRequests
 	prefixes  prefixCache
 	// secondsPerToken is the prefill time per token: a moving average of the time to
 	// the first token, divided by the tokens to prefill until then. samples counts the
@@ -365,7 +364,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.targets {
-		if !listed[id] && s.Load.Running() == 0 && s.Expired(now) {
+		if !listed[id] && s.Load.Running() == 0 && s.Expired(now) && !s.abandoned.watching {
 			delete(t.targets, id)
 		}
 	}
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -74,6 +74,8 @@
 	startedAt time.Time
 	era       uint64
 	at        time.Time
+	// draining is set if it had announced that it leaves.
+	draining bool
 }
 
 // leftMemory is how long a start that has left is remembered: longer than any copy is old.
@@ -128,7 +130,7 @@
 			delete(r.left, other)
 		}
 	}
-	r.left[id] = leftTarget{startedAt: t.StartedAt, era: t.Era, at: now}
+	r.left[id] = leftTarget{startedAt: t.StartedAt, era: t.Era, at: now, draining: t.Draining}
 }
 
 // hasLeft reports whether an entry of an older copy is of a start that is known to leave or
@@ -150,6 +152,28 @@
 	return ok && !t.Draining && t.removeAt.IsZero() && !t.misdirected && t.StartedAt.Equal(e.StartedAt)
 }
 
+// Ended reports whether a start of a target has ended that had not announced it: it is listed with a later
+// start, another target is listed at its address, or its entry has lapsed.
+func (r *Registrar) Ended(e Entry, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.targets[e.ID]
+	switch {
+	case !ok:
+		return !r.left[e.ID].draining
+	case t.Draining:
+		return false
+	case t.StartedAt.After(e.StartedAt) || (!t.removeAt.IsZero() && now.After(t.removeAt)):
+		return true
+	}
+	for id, other := range r.targets {
+		if id != e.ID && other.Address == e.Address && e.Address != "" && t.Entry.olderThan(other.Entry) {
+			return true
+		}
+	}
+	return false
+}
+
 // MarkMisdirected withholds a target from Service until its entry changes, because
 // another target responded at its address. It does nothing if the entry has another
 // revision.
@@ -200,7 +224,7 @@
 	var out []Entry
 	for id, t := range r.targets {
 		if !t.removeAt.IsZero() && now.After(t.removeAt) {
-			delete(r.targets, id)
+			r.forget(id, now)
 			continue
 		}
 		if t.Service == name && !t.Draining && !t.misdirected {
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -55,6 +55,9 @@
 			entries = append(entries, entry(t, arg))
 		}
 		r.Replace(entries, now, !unstable)
+	case "ended", "goesOn":
+		e := entry(t, args[0])
+		assert.Equal(t, r.Ended(e, now), fields[1] == "ended", line)
 	case "expect":
 		var ids []string
 		for _, e := range r.Service("llm", now) {
@@ -66,10 +69,12 @@
 	}
 }
 
-// entry parses ID:REVISION, followed by an exclamation mark if the target is draining.
+// entry parses ID:REVISION, followed by an exclamation mark if the target is draining, and by a percent
+// sign and an address.
 func entry(t *testing.T, s string) registrar.Entry {
 	t.Helper()
 	e := registrar.Entry{Service: "llm"}
+	s, e.Address, _ = strings.Cut(s, "%")
 	s, e.Draining = strings.CutSuffix(s, "!")
 	id, revision, _ := strings.Cut(s, ":")
 	e.ID = id
