Router: a process that is late with few requests in progress refuses none

Cause: the limit fell to eight requests as soon as the process was 20 ms late, whatever made it late.

The least limit is 64 requests now, of any organisation; TestLateForOtherReasons fails with the former one at its eighth request.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -167,7 +167,7 @@
 		return true
 	}
 	for id, other := range r.targets {
-		if id != e.ID && other.Address == e.Address && e.Address != "" && t.Entry.olderThan(other.Entry) {
+		if id != e.ID && other.Address == e.Address && e.Address != "" && t.olderThan(other.Entry) {
 			return true
 		}
 	}
--- a/internal/request/admitter/concurrency.go
+++ b/internal/request/admitter/concurrency.go
@@ -12,9 +12,9 @@
 	// decrease and increase are the factors by which the limit follows the lag at each Adjust.
 	decrease = 0.85
 	increase = 1.08
-	// minLimit is the least limit: without any request in progress, nothing would show that the
-	// overload has passed.
-	minLimit = 8
+	// minLimit is the least limit. With fewer requests in progress it is something else that makes
+	// the process late, such as other programs of the host, and none is refused.
+	minLimit = 64
 	// organisationFactor bounds the requests of an organisation to a multiple of the
 	// room that is left to all. One organisation alone gets four fifths of the limit.
 	organisationFactor = 4
@@ -49,7 +49,7 @@
 	own := c.byOrganisation[organisation]
 	room := organisationFactor * (c.limit - float64(c.total))
 	safe := safeShare * c.limit / float64(len(c.byOrganisation)+1)
-	if c.limit > 0 && float64(own) >= max(room, safe) {
+	if c.limit > 0 && c.total >= minLimit && float64(own) >= max(room, safe) {
 		return false
 	}
 	c.total++
--- a/internal/request/admitter/concurrency_test.go
+++ b/internal/request/admitter/concurrency_test.go
@@ -141,3 +141,13 @@
 		assert.Check(t, inTime >= without*9/10, "%d in time, %d without a limit", inTime, without)
 	}
 }
+
+// TestLateForOtherReasons lets the process be late with few requests in progress, as on a host whose
+// processor other programs use. They were refused.
+func TestLateForOtherReasons(t *testing.T) {
+	var c admitter.Concurrency
+	for n := range 60 {
+		c.Adjust(time.Second)
+		assert.Assert(t, c.Enter("alpha"), "request %d", n)
+	}
+}
