--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -23,6 +23,10 @@
 	// tell; countedTokens counts tokens that were counted as drawn after that for other routers.
 	storeEra      prometheus.Gauge
 	countedTokens *prometheus.CounterVec
+	// lag is how late the process is, requestLimit the limit of requests in progress, 0 if there is
+	// none.
+	lag          prometheus.Gauge
+	requestLimit prometheus.Gauge
 }
 
 func newMetrics(r *prometheus.Registry, clientConnections func() float64) *metrics {
@@ -52,9 +56,15 @@
 		countedTokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_counted_tokens_total", Help: "Tokens counted as drawn after the store came back from a copy, by method.",
 		}, []string{"method"}),
+		lag: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "egretroute_gateway_lag_seconds", Help: "How late the process has run at most in the last tenth of a second.",
+		}),
+		requestLimit: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "egretroute_gateway_request_limit", Help: "Limit of requests in progress for want of processor time, 0 if there is none.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.storeEra, m.countedTokens, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.storeEra, m.countedTokens, m.lag, m.requestLimit, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "egretroute_gateway_client_connections", Help: "Open connections of clients.",
 		}, clientConnections))
 	}
--- a/internal/process/gateway/overload.go
+++ b/internal/process/gateway/overload.go
@@ -42,6 +42,8 @@
 		}
 		previous = worst
 		limit, inProgress := g.concurrency.Adjust(worst)
+		g.metrics.lag.Set(worst.Seconds())
+		g.metrics.requestLimit.Set(limit)
 		if (limit > 0) != limited {
 			limited = limit > 0
 			logger.Overload.Log(g.Log, "limited", limited, "limit", int(limit), "inProgress", inProgress, "lag", worst)
