--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -183,30 +183,41 @@
 	r.pool.put(r.address, r.conn, idleTimeout(r.Header))
 }
 
-// Refused dials an address and reports whether the connection was refused, so that nothing
-// listens there. It dials up to maxProbeDials times if a connection is not answered or ends
+// Probe is what dials to an address have shown.
+type Probe int
+
+const (
+	// ProbeUnknown means that nothing answered, or that connections ended at once.
+	ProbeUnknown Probe = iota
+	// ProbeRefused means that nothing listens at the address.
+	ProbeRefused
+	// ProbeOpen means that a connection was accepted and stays open.
+	ProbeOpen
+)
+
+// Probe dials an address, up to maxProbeDials times if a connection is not answered or ends
 // at once, as happens while a process ends: its sockets are not closed at the same
 // instant. A connection that stays open is kept for the next request.
-func (p *Pool) Refused(ctx context.Context, address string) bool {
+func (p *Pool) Probe(ctx context.Context, address string) Probe {
 	for range maxProbeDials {
 		dialCtx, cancel := context.WithTimeout(ctx, probeDialTime)
 		c, err := p.dial(dialCtx, address)
 		cancel()
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
-			return true
+			return ProbeRefused
 		case err == nil:
 			pauser.Pause(ctx, probeOpenTime)
 			if reusable(c.Conn) {
 				p.put(address, c, defaultIdleTimeout)
-				return false
+				return ProbeOpen
 			}
 			_ = c.Close()
 		case !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, os.ErrDeadlineExceeded):
 			pauser.Pause(ctx, probeOpenTime)
 		}
 	}
-	return false
+	return ProbeUnknown
 }
 
 // CloseIdle closes idle connections to an address.
--- a/internal/connection/exchanger/exchanger_test.go
+++ b/internal/connection/exchanger/exchanger_test.go
@@ -133,9 +133,9 @@
 	assert.Equal(t, exchange(pool, ln.Addr().String(), "a"), exchanger.ErrNotSent.Error())
 }
 
-// TestRefusedTellsAnEndedProcessFromABrokenConnection probes addresses whose server has
+// TestProbeTellsAnEndedProcessFromABrokenConnection probes addresses whose server has
 // ended, ends a little later than its connections, or still runs.
-func TestRefusedTellsAnEndedProcessFromABrokenConnection(t *testing.T) {
+func TestProbeTellsAnEndedProcessFromABrokenConnection(t *testing.T) {
 	const maxDials = 3
 	for _, tt := range []struct {
 		name string
@@ -144,16 +144,16 @@
 		closeAfter int64
 		// accepted handles accepted connections; nil leaves them in the backlog.
 		accepted func(net.Conn)
-		refused  bool
+		want     exchanger.Probe
 	}{
-		{"ended", 0, nil, true},
-		{"ends while it closes its connections", 2, func(c net.Conn) { _ = c.Close() }, true},
-		{"runs", -1, func(net.Conn) {}, false},
-		{"is frozen", -1, nil, false},
+		{"ended", 0, nil, exchanger.ProbeRefused},
+		{"ends while it closes its connections", 2, func(c net.Conn) { _ = c.Close() }, exchanger.ProbeRefused},
+		{"runs", -1, func(net.Conn) {}, exchanger.ProbeOpen},
+		{"is frozen", -1, nil, exchanger.ProbeOpen},
 		{"resets every connection", -1, func(c net.Conn) {
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
-		}, false},
+		}, exchanger.ProbeUnknown},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -176,7 +176,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			pool := &exchanger.Pool{DialTimeout: time.Second, MaxIdle: 1}
-			assert.Equal(t, pool.Refused(ctx, ln.Addr().String()), tt.refused)
+			assert.Equal(t, pool.Probe(ctx, ln.Addr().String()), tt.want)
 			assert.Assert(t, accepted.Load() <= maxDials, "dialed %d times", accepted.Load())
 		})
 	}
--- a/internal/process/gateway/abandoned.go
+++ b/internal/process/gateway/abandoned.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
@@ -52,16 +53,20 @@
 	return check, watch
 }
 
-// checkedAbandoned ends a check and returns the requests abandoned at the same start of the
-// target, which are forgotten if it has crashed.
-func (t *targetTracker) checkedAbandoned(target, start string, crashed bool) []abandonedRequest {
+// checkedAbandoned ends a check of a start of a target. It forgets the requests abandoned there if the
+// target has crashed, and returns them, or if it lives.
+func (t *targetTracker) checkedAbandoned(target, start string, p exchanger.Probe) (lost []abandonedRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.target(target).abandoned.checking = false
-	if !crashed {
+	if p == exchanger.ProbeUnknown {
 		return nil
 	}
-	return t.takeAbandoned(target, func(r abandonedRequest) bool { return r.crash.Run == start })
+	taken := t.takeAbandoned(target, func(r abandonedRequest) bool { return r.crash.Run == start })
+	if p == exchanger.ProbeOpen {
+		return nil
+	}
+	return taken
 }
 
 // watchedAbandoned forgets and returns the requests whose target's start has ended, and forgets those
@@ -113,8 +118,8 @@
 	}})
 	if check {
 		time.AfterFunc(abandonedCheckDelay, func() {
-			crashed := g.hasCrashed(context.Background(), target)
-			g.recordCrashes(g.tracker.checkedAbandoned(target.ID, start, crashed))
+			p := g.probe(context.Background(), target)
+			g.recordCrashes(g.tracker.checkedAbandoned(target.ID, start, p))
 		})
 	}
 	if watch {
--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/process/archiver"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/registrar"
@@ -40,15 +41,16 @@
 	return target.ID + "@" + strconv.FormatInt(target.StartedAt.UnixMilli(), 36)
 }
 
-// hasCrashed reports whether a target that broke a connection off has crashed: nothing
-// listens at its address any more, although it has not announced that it leaves.
-func (g *Gateway) hasCrashed(ctx context.Context, target registrar.Entry) bool {
+// probe tells whether a target that broke a connection off has crashed: nothing listens at its
+// address any more, although it has not announced that it leaves. A target that is not listed
+// as it was is not dialed.
+func (g *Gateway) probe(ctx context.Context, target registrar.Entry) exchanger.Probe {
 	if !g.targets.Serving(target) || g.tracker.isLeaving(target, time.Now()) {
-		return false
+		return exchanger.ProbeUnknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return g.pool.Refused(ctx, target.Address)
+	return g.pool.Probe(ctx, target.Address)
 }
 
 // recordCrashUnder records that a target crashed while it ran a request.
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -268,9 +268,10 @@
 	ejection := g.tracker.recordLoss(target.ID, time.Now())
 	g.pool.CloseIdle(target.Address)
 	if result == resultFailed && ctx.Err() == nil {
-		if g.hasCrashed(ctx, target) {
+		switch g.probe(ctx, target) {
+		case exchanger.ProbeRefused:
 			g.recordCrashUnder(q, target)
-		} else {
+		case exchanger.ProbeUnknown:
 			g.recordAbandoned(q, target)
 		}
 	}
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -51,6 +51,14 @@
 	return e.Era < other.Era || (e.Era == other.Era && e.Revision < other.Revision)
 }
 
+// startedAfter reports whether an entry is of a later start than one of another target at the same address.
+func (e Entry) startedAfter(other Entry) bool {
+	if e.StartedAt.IsZero() || other.StartedAt.IsZero() {
+		return other.olderThan(e)
+	}
+	return e.StartedAt.After(other.StartedAt)
+}
+
 // target is an entry with the state of its removal.
 type target struct {
 	Entry
@@ -167,7 +175,7 @@
 		return true
 	}
 	for id, other := range r.targets {
-		if id != e.ID && other.Address == e.Address && e.Address != "" && t.olderThan(other.Entry) {
+		if id != e.ID && other.Address == e.Address && e.Address != "" && other.startedAfter(t.Entry) {
 			return true
 		}
 	}
