--- a/internal/process/gateway/abandoned.go
+++ b/internal/process/gateway/abandoned.go
@@ -36,13 +36,13 @@
 // abandonedRequests are the requests abandoned at one target.
 type abandonedRequests struct {
 	requests []abandonedRequest
-	// checking and watching are set while checkAbandoned and watchAbandoned are pending.
+	// checking is set while a check of the target is pending, watching while its start is watched.
 	checking bool
 	watching bool
 }
 
-// recordAbandoned records a request that was abandoned at a target, and reports whether
-// checkAbandoned and watchAbandoned have to be started.
+// recordAbandoned records a request that was abandoned at a target, and reports whether the target has
+// to be checked, and its start to be watched.
 func (t *targetTracker) recordAbandoned(r abandonedRequest) (check, watch bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -169,7 +169,7 @@
 	if ref := g.reserve(ctx, q); ref != nil {
 		return ref
 	}
-	g.retries.RecordRequest(q.service.Name, q.startedAt)
+	g.retries.RecordRequest(q.service.Name, time.Now())
 	defer g.settle(q)
 	return g.forward(ctx, out, q)
 }
@@ -289,7 +289,7 @@
 	}
 	g.allocator.RecordDemand(name, amount, q.startedAt)
 	reservation := &spender.Reservation{Organisation: name, Limit: q.organisation.Budget, Amount: amount}
-	reservation.HeldOnly = !g.shortages.Search(name, amount, q.startedAt)
+	reservation.HeldOnly = !g.shortages.Search(name, amount, time.Now())
 	err := g.reserveTokens(ctx, q, reservation)
 	switch {
 	case err == nil:
