--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -254,7 +254,11 @@
 	// just before this era.
 	countedBefore := !(state.era - 1).Restored() || (storer.Era(last.Era) == state.era-1 && last.Method == Own)
 	complete := completeness == recorder.Complete && countedBefore && state.recorded
+	// A router without any row has not drawn before the copy, but it may have since.
 	isNew := !hasRows && last.Era == 0 && completeness != recorder.Unreached
+	if isNew && completeness != recorder.Complete {
+		isNew = r.fleetIsNew(ctx)
+	}
 	switch {
 	case complete || isNew:
 		if tokens, err := r.Counter.CountRecorded(ctx, state.era, router, draws); err == nil {
@@ -267,6 +271,21 @@
 	}
 }
 
+// fleetIsNew reports whether the store has no rows of any router's holdings: then the fleet starts
+// for the first time, with a store that has come back from a copy before.
+func (r *Reconciler) fleetIsNew(ctx context.Context) bool {
+	routers, err := r.Routers(ctx)
+	if err != nil {
+		return false
+	}
+	for _, router := range routers {
+		if hasRows, err := r.HasRows(ctx, router); err != nil || hasRows {
+			return false
+		}
+	}
+	return true
+}
+
 // write records that a router is counted.
 func (r *Reconciler) write(ctx context.Context, era storer.Era, router string, method Method, tokens int64) {
 	value, _ := json.Marshal(eraRow{Era: uint64(era), Method: method, By: r.Router}) // always encodes
--- /dev/null
+++ b/internal/process/reconciler/reconciler_test.go
@@ -0,0 +1,89 @@
+package reconciler_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/process/reconciler"
+	"github.com/egretroute/egretroute/internal/process/recorder"
+	"github.com/egretroute/egretroute/internal/process/storer"
+)
+
+// memory is a store of which only the table of eras is used.
+type memory struct{ *storer.Memory }
+
+// List implements storer.Watcher.
+func (m memory) List(ctx context.Context, table string) (storer.RowBatch, error) {
+	rows, err := m.Scan(ctx, table+"/", "", 1000)
+	return storer.RowBatch{Rows: rows, Era: m.Era()}, err
+}
+
+// Watch implements storer.Watcher.
+func (memory) Watch(context.Context, string, uint64, time.Duration) (storer.RowBatch, error) {
+	return storer.RowBatch{}, storer.ErrRefused
+}
+
+// holdings and counter stand in for those of a router that has counted itself.
+type holdings struct{}
+
+func (holdings) Rebased(storer.Era) (rebased, counted bool) { return true, true }
+func (holdings) SetCounted(storer.Era)                      {}
+func (holdings) OpenDraws(storer.Era)                       {}
+
+type counter struct{}
+
+func (counter) CountRecorded(context.Context, storer.Era, string, map[string]framer.Draw) (int64, error) {
+	return 0, nil
+}
+
+func (counter) CountAtMost(context.Context, storer.Era, string, map[string]int64) (int64, error) {
+	return 0, nil
+}
+
+// TestRouterWithoutRows counts a router that the store shows no trace of. It may have drawn after the
+// copy, so it must count at most if its records may be incomplete, unless the whole fleet is new.
+// It was counted as if it had drawn nothing.
+func TestRouterWithoutRows(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		completeness recorder.Completeness
+		othersHold   bool
+		want         reconciler.Method
+	}{
+		{"its records are complete", recorder.Complete, true, reconciler.Recorded},
+		{"some records may be forgotten", recorder.Reached, true, reconciler.AtMost},
+		{"too few processes reply", recorder.Unreached, true, reconciler.AtMost},
+		{"the fleet is new", recorder.Reached, false, reconciler.Recorded},
+		{"the fleet is new, too few processes reply", recorder.Unreached, false, reconciler.AtMost},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const era = 3
+				store := memory{storer.NewMemory()}
+				store.SetEra(era)
+				methods := make(map[string]reconciler.Method)
+				r := &reconciler.Reconciler{
+					Store: store, Router: "self", Table: "eras", Key: func(router string) string { return "eras/" + router },
+					Holdings: holdings{}, Counter: counter{}, Limits: func() map[string]int64 { return nil },
+					Routers: func(context.Context) ([]string, error) { return []string{"self", "without rows"}, nil },
+					HasRows: func(_ context.Context, router string) (bool, error) { return tt.othersHold && router == "self", nil },
+					Fetch: func(context.Context, string, time.Duration) (map[string]framer.Draw, recorder.Completeness) {
+						return nil, tt.completeness
+					},
+					OnCounted: func(_ storer.Era, router string, method reconciler.Method, _ int64) { methods[router] = method },
+				}
+				r.SetEra(era, false, era-1)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				r.Run(ctx)
+				assert.Equal(t, methods["self"], reconciler.Own)
+				assert.Equal(t, methods["without rows"], tt.want)
+			})
+		})
+	}
+}
