Gateway: the limit that a target names is decoded and logged

The assessor holds what a target has said of its limit; responses arrive in any order, so a higher limit, or none, counts only from a response whose request was sent after the known limit was received.

Nothing decides by it yet.

--- a/internal/process/gateway/headercodec.go
+++ b/internal/process/gateway/headercodec.go
@@ -70,6 +70,19 @@
 	Leaving bool
 	// PauseFor is how long the target wants no more requests from this router, or zero.
 	PauseFor time.Duration
+	// RateLimit is what the target states of the rate of requests that it takes.
+	RateLimit RateLimit
+}
+
+// RateLimit is the rate of requests that a target takes from all routers together. Its zero value
+// means that the target states none.
+type RateLimit struct {
+	Stated bool
+	// PerSecond is at least 0.
+	PerSecond float64
+	// Unreadable is set if the target has stated something that is no rate, Text.
+	Unreadable bool
+	Text       string
 }
 
 // HeaderCodec translates between HTTP headers and the gateway's metadata types.
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -19,6 +19,8 @@
 	crashes   *prometheus.CounterVec
 	// withdrawals counts what targets have said of the requests after a response.
 	withdrawals *prometheus.CounterVec
+	// limitChanges counts changes of the limits that targets name.
+	limitChanges *prometheus.CounterVec
 	// storeEra is one more than how often the store has come back from a copy, or 0 if it does not
 	// tell; countedTokens counts tokens that were counted as drawn after that for other routers.
 	storeEra      prometheus.Gauge
@@ -50,6 +52,9 @@
 		withdrawals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_target_withdrawals_total", Help: "Targets that say that they leave or want nothing for a time, by source.",
 		}, []string{"state", "source"}),
+		limitChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_target_limit_changes_total", Help: "Changes of the limits of requests a second that targets name, by source.",
+		}, []string{"source"}),
 		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "egretroute_gateway_store_era", Help: "Era of the platform's store: it rises when the store comes back from a copy.",
 		}),
@@ -64,7 +69,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.storeEra, m.countedTokens, m.lag, m.requestLimit, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.limitChanges, m.storeEra, m.countedTokens, m.lag, m.requestLimit, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "egretroute_gateway_client_connections", Help: "Open connections of clients.",
 		}, clientConnections))
 	}
--- a/internal/process/gateway/targetfacts.go
+++ b/internal/process/gateway/targetfacts.go
@@ -71,6 +71,16 @@
 	return s.RecordPause(f, d).Sub(now)
 }
 
+// recordLimit records what the response to a request that was sent at sentAt says of the target's
+// limit. It returns the response's word and reports whether the limit has changed.
+func (t *targetTracker) recordLimit(target registrar.Entry, l RateLimit, sentAt, now time.Time) (assessor.Limit, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, f := t.fact(target, now)
+	limit := assessor.Limit{Fact: f, SentAt: sentAt, Stated: l.Stated, PerSecond: l.PerSecond}
+	return limit, s.RecordLimit(limit)
+}
+
 // recordCrash records that a target has crashed.
 func (t *targetTracker) recordCrash(target registrar.Entry, now time.Time) {
 	t.mu.Lock()
--- a/internal/process/gateway/withdrawals.go
+++ b/internal/process/gateway/withdrawals.go
@@ -23,6 +23,18 @@
 		g.metrics.withdrawals.WithLabelValues("pause", assessor.Response.String()).Inc()
 		logger.TargetPaused.Log(g.Log, "target", target.ID, "start", target.StartedAt, "request", q.ID, "asked", m.PauseFor, "left", left)
 	}
+	if m.RateLimit.Unreadable {
+		logger.TargetLimitUnreadable.Log(g.Log, "target", target.ID, "request", q.ID, "limit", m.RateLimit.Text)
+	} else if limit, changed := g.tracker.recordLimit(target, m.RateLimit, q.inFlight.startedAt, now); changed {
+		g.logLimit(target.ID, limit, "request", q.ID)
+	}
+}
+
+// logLimit logs and counts that a target's limit has changed; attrs name what this router knows it
+// from.
+func (g *Gateway) logLimit(target string, l assessor.Limit, attrs ...any) {
+	g.metrics.limitChanges.WithLabelValues(l.Source.String()).Inc()
+	logger.TargetLimit.Log(g.Log, append([]any{"target", target, "start", l.Start, "source", l.Source.String(), "limited", l.Stated, "perSecond", l.PerSecond}, attrs...)...)
 }
 
 // logLeaving logs and counts that a target leaves; attrs name what this router knows it from.
--- a/internal/request/assessor/assessor.go
+++ b/internal/request/assessor/assessor.go
@@ -140,6 +140,7 @@
 	peerPaused Pause
 	// crashed is the target's last crash.
 	crashed Fact
+	limit   Limit
 }
 
 // RecordLeaving records that the target leaves and reports whether that is news. What the
--- /dev/null
+++ b/internal/request/assessor/limit.go
@@ -0,0 +1,70 @@
+package assessor
+
+import (
+	"math"
+	"time"
+)
+
+// maxReportDelay bounds by how much a fact may be older than reports, over several routers, make it
+// look.
+const maxReportDelay = 500 * time.Millisecond
+
+// Limit is the rate of requests that a target takes from all routers together, as one of its
+// responses states it. Its zero value means that nothing is known.
+type Limit struct {
+	// Fact.At is when the response was received.
+	Fact
+	// SentAt is when the request was sent.
+	SentAt time.Time
+	// Stated is false if the response states no limit; PerSecond is the limit otherwise.
+	Stated    bool
+	PerSecond float64
+}
+
+// rate returns the limit, which is infinite if none is stated.
+func (l Limit) rate() float64 {
+	if !l.Stated {
+		return math.Inf(1)
+	}
+	return l.PerSecond
+}
+
+// after reports whether l certainly came later than other: its request was sent after other's
+// response was received. The times of what other routers say are inexact.
+func (l Limit) after(other Limit) bool {
+	inexact := time.Duration(0)
+	if l.Source == Peer || other.Source == Peer {
+		inexact = maxReportDelay
+	}
+	return l.SentAt.Sub(other.At) > inexact
+}
+
+// RecordLimit records what a response says of the target's limit, and reports whether the limit has
+// changed. Responses arrive in any order: of two that may have been sent at the same time, the
+// lower limit counts.
+func (t *Target) RecordLimit(l Limit) bool {
+	known := t.limit
+	switch {
+	case l.Start.Before(known.Start):
+		return false
+	case known.At.IsZero() || known.Start.Before(l.Start):
+		if !l.Stated {
+			l = Limit{} // there is nothing to remember
+		}
+	case known.after(l), l.rate() > known.rate() && !l.after(known):
+		return false
+	case l.rate() == known.rate() && (!l.Stated || known.At.After(l.At)):
+		return false
+	}
+	t.limit = l
+	return l.rate() != known.rate()
+}
+
+// Limit returns the limit of the start with the given time. Its At is zero if nothing is known of
+// that start.
+func (t *Target) Limit(start time.Time) Limit {
+	if !t.limit.about(start) {
+		return Limit{}
+	}
+	return t.limit
+}
