--- a/internal/connection/framer/store.go
+++ b/internal/connection/framer/store.go
@@ -252,6 +252,9 @@
 	if !r.Start.IsZero() {
 		w.StartMillis = r.Start.UnixMilli()
 	}
+	if l := r.Limit; l.Known {
+		w.Limit = &wire.TargetLimit{Stated: l.Stated, PerSecond: l.PerSecond, AgeMillis: l.Age.Milliseconds(), SentAgeMillis: l.SentAge.Milliseconds()}
+	}
 	return w
 }
 
@@ -266,5 +269,11 @@
 	if w.GetStartMillis() != 0 {
 		r.Start = time.UnixMilli(w.GetStartMillis())
 	}
+	if l := w.GetLimit(); l != nil {
+		r.Limit = assessor.LimitReport{
+			Known: true, Stated: l.GetStated(), PerSecond: l.GetPerSecond(),
+			Age: time.Duration(l.GetAgeMillis()) * time.Millisecond, SentAge: time.Duration(l.GetSentAgeMillis()) * time.Millisecond,
+		}
+	}
 	return r
 }
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -96,12 +96,20 @@
 // those with the same contents have ended, but for isolationTime at most.
 func (g *Gateway) place(ctx context.Context, out *clientResponse, q *request, shape placer.Request, now time.Time) (registrar.Entry, *refusal) {
 	isolateUntil := now.Add(min(isolationTime, q.deadline.Sub(now)/2))
+	defer g.tracker.leaveQueue(q)
 	for {
 		if ref := g.refuseIfPoison(q); ref != nil {
 			return registrar.Entry{}, ref
 		}
 		shape.Suspect = q.verdict != suspecter.Innocent
 		target, closed, ok := g.nextTarget(q, shape, now)
+		if !ok && closed.limited > 0 {
+			if ref := g.waitForPermit(ctx, q, closed, now); ref != nil {
+				return target, ref
+			}
+			now = time.Now()
+			continue
+		}
 		if !ok {
 			return target, g.refuseWithoutTarget(q, closed, now)
 		}
@@ -112,6 +120,7 @@
 		if inFlight != nil {
 			q.triedRuns[runOf(target)], q.targetID, q.inFlight = true, target.ID, inFlight
 			q.targetStart = g.suspects.Start(runOf(target))
+			g.countLimited(q)
 			return target, nil
 		}
 		waitFor(ctx, suspectEnded, isolateUntil)
@@ -174,7 +183,8 @@
 // nextTarget returns the best target that was not tried yet, if any, and the targets of the
 // service that take no requests from this router.
 func (g *Gateway) nextTarget(q *request, shape placer.Request, now time.Time) (registrar.Entry, closedTargets, bool) {
-	entries, closed := g.tracker.open(g.targets.Service(q.service.Name, now), now)
+	entries, closed := g.tracker.open(q, g.targets.Service(q.service.Name, now), now)
+	q.limitedTargets = closed.limited
 	for _, c := range g.tracker.plan(q.service.Name, shape, entries, now) {
 		if e := entries[c.Index]; !q.triedRuns[runOf(e)] {
 			q.choice = c
@@ -240,6 +250,7 @@
 		},
 	})
 	if errors.Is(err, exchanger.ErrNotSent) {
+		q.inFlight.returnPermit()
 		return g.recordFailedAttempt(ctx, q, target, err, resultUnsent)
 	}
 	q.attempts++
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -192,7 +192,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	g.startedAt = time.Now()
 	g.targets = registrar.New()
-	g.tracker = newTargetTracker(func() int { return g.peers.routers.LiveCount() })
+	g.tracker = newTargetTracker(func() int { return g.peers.routers.LiveCount() }, g.membership)
 	g.rowCache = newRowCache()
 	g.pool = &exchanger.Pool{DialTimeout: dialTimeout, MaxIdle: maxIdleConnections}
 	g.SetLimits(g.Limits)
@@ -209,7 +209,7 @@
 	g.relayServer = &relayer.Server{Store: g.Store}
 	g.retries = &retrier.Budget{Limits: func() retrier.Limits { return g.limits.Load().Retries }}
 	g.clients = g.newClientLimiter()
-	g.metrics = newMetrics(g.Registry, func() float64 { return float64(g.clients.Open()) })
+	g.metrics = newMetrics(g.Registry, func() float64 { return float64(g.clients.Open()) }, func() float64 { return float64(g.tracker.limitedCount()) })
 	g.heartbeats = &spender.Heartbeater{
 		CollectAllowances: func(collect func(map[string]spender.Allowance)) { g.allocator.CollectAllowances(collect) }, OnConfirmed: func() { g.allocator.HeartbeatConfirmed() },
 		Table: g.store, Incarnation: g.Incarnation, Key: g.Schema.RowKey("beats", g.Name+heartbeatsSuffix, g.Name),
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/egretroute/egretroute/internal/request/placer"
 	"github.com/egretroute/egretroute/internal/request/splitter"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
+	"github.com/egretroute/egretroute/internal/request/throttler"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -81,6 +82,12 @@
 	// inFlight is the current attempt at a target.
 	inFlight *inFlightRequest
 	choice   placer.Choice
+	// waiter is the request's place among those that wait for a permit, nil if it doesn't wait.
+	waiter          *throttler.Waiter
+	waitedForPermit bool
+	// limitedTargets is the number of targets that took no request at the last placement since
+	// they limit the rate.
+	limitedTargets int
 }
 
 // refusal is a response that the gateway makes itself instead of a target.
@@ -316,7 +323,7 @@
 	event.Log(g.Log, append([]any{
 		"request", q.ID, "digest", q.digest, "kind", kind, "outcome", q.outcome, "status", q.status, "sentStatus", out.status, "complete", out.complete, "target", q.targetID, "sends", q.attempts,
 		"ms", time.Since(q.startedAt).Milliseconds(), "firstMs", q.firstByteAfter.Milliseconds(), "sentMs", q.lastAttemptAfter.Milliseconds(),
-		"prompt", q.PromptTokens, "wait", int64(q.choice.Wait), "home", q.choice.Preferred, "events", q.deliveredEvents, "version", version,
+		"prompt", q.PromptTokens, "wait", int64(q.choice.Wait), "home", q.choice.Preferred, "events", q.deliveredEvents, "limited", q.limitedTargets, "version", version,
 		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost, "lender", q.lender,
 	}, attrs...)...)
 }
--- /dev/null
+++ b/internal/process/gateway/limits.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/process/registrar"
+	"github.com/egretroute/egretroute/internal/request/assessor"
+	"github.com/egretroute/egretroute/internal/request/sharer"
+	"github.com/egretroute/egretroute/internal/request/throttler"
+)
+
+const (
+	// limitToldTime is how long a router tells the others that a target's limit has changed: many
+	// times as long as all routers take to hear of it from each other.
+	limitToldTime = 10 * time.Second
+	// minPermitWait is the least time between two attempts of a request to get a permit.
+	minPermitWait = 5 * time.Millisecond
+)
+
+// throttle says what this router may send to a target that limits the rate of requests.
+type throttle struct {
+	// limited is false if the target has no limit.
+	limited bool
+	// returning is set if the limit has ended and this router doesn't use the target yet.
+	returning bool
+	limit     float64
+	part      throttler.Part
+	// nextAt is when the router may send the next request; zero if it may send none.
+	nextAt time.Time
+}
+
+// open reports whether the router may send a request now.
+func (th throttle) open(now time.Time) bool {
+	return !th.limited || (!th.nextAt.IsZero() && !now.Before(th.nextAt))
+}
+
+// throttle returns what this router may send to a target; t.mu must be held.
+func (t *targetTracker) throttle(e registrar.Entry, m sharer.Membership, now time.Time) throttle {
+	s := t.target(e.ID)
+	l := s.Limit(e.StartedAt)
+	switch {
+	case l.Stated:
+		th := throttle{limited: true, limit: l.PerSecond, part: throttler.PartOf(l.PerSecond, sharer.Hash(e.ID), m, now)}
+		th.nextAt, _ = s.permits.Next(th.part, now)
+		return th
+	case !l.At.IsZero():
+		returnAt := l.At.Add(throttler.ReturnDelay(sharer.Hash(e.ID), m))
+		inf := math.Inf(1)
+		returning := now.Before(returnAt)
+		return throttle{limited: returning, returning: returning, limit: inf, part: throttler.Part{PerSecond: inf}, nextAt: returnAt}
+	}
+	return throttle{}
+}
+
+// addLimited counts a target that takes no request from this router now since it is limited.
+func (c *closedTargets) addLimited(th throttle) {
+	c.limited++
+	c.supply.Total += th.limit
+	c.supply.PerSecond += th.part.PerSecond
+	if !th.nextAt.IsZero() && (c.supply.Next.IsZero() || th.nextAt.Before(c.supply.Next)) {
+		c.supply.Next = th.nextAt
+	}
+}
+
+// takePermit takes a permit for a request, and reports whether it may be sent; t.mu must be held.
+func (t *targetTracker) takePermit(s *targetState, e registrar.Entry, m sharer.Membership, now time.Time) (limited, ok bool) {
+	th := t.throttle(e, m, now)
+	if !th.limited || th.returning {
+		return false, true
+	}
+	return true, s.permits.Take(th.part, now)
+}
+
+// returnPermit gives back the permit of a request of which no byte was sent.
+func (r *inFlightRequest) returnPermit() {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	if r.limited {
+		r.limited = false
+		r.tracker.target(r.target).permits.Return()
+	}
+}
+
+// decideWait decides whether a request waits for a permit, and lets it join the queue if so.
+func (t *targetTracker) decideWait(q *request, supply throttler.Supply, now time.Time) throttler.Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	queue := &t.service(q.service.Name).queue
+	d := queue.Decide(supply, queue.Ahead(q.waiter, q.priority), q.deadline, now)
+	if d.Wait && q.waiter == nil {
+		q.waiter = queue.Join(q.priority)
+	}
+	return d
+}
+
+// leaveQueue ends a request's wait for a permit, if it waits.
+func (t *targetTracker) leaveQueue(q *request) {
+	if q.waiter == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.service(q.service.Name).queue.Leave(q.waiter)
+	q.waiter = nil
+}
+
+// limitedCount returns the number of targets that limit the rate of requests.
+func (t *targetTracker) limitedCount() (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.targets {
+		if s.Limit(s.start).Stated {
+			n++
+		}
+	}
+	return n
+}
+
+// waitForPermit lets a request for which only limited targets are left wait for a permit, or
+// returns its refusal.
+func (g *Gateway) waitForPermit(ctx context.Context, q *request, closed closedTargets, now time.Time) *refusal {
+	d := g.tracker.decideWait(q, closed.supply, now)
+	if !d.Wait {
+		return g.refuseForLimit(q, closed, d.At.Sub(now))
+	}
+	q.waitedForPermit = true
+	waitFor(ctx, nil, maxTime(d.At, now.Add(minPermitWait)))
+	if ctx.Err() != nil {
+		return timedOut(q)
+	}
+	return nil
+}
+
+// countLimited counts a request that got a permit.
+func (g *Gateway) countLimited(q *request) {
+	switch {
+	case !q.inFlight.limited:
+	case q.waitedForPermit:
+		g.metrics.limited.WithLabelValues("waited").Inc()
+	default:
+		g.metrics.limited.WithLabelValues("sent").Inc()
+	}
+}
+
+// refuseForLimit refuses a request for which only limited targets are left; the client may return
+// after the given time.
+func (g *Gateway) refuseForLimit(q *request, closed closedTargets, after time.Duration) *refusal {
+	g.metrics.limited.WithLabelValues("refused").Inc()
+	logger.TargetsLimited.Log(g.Log, "request", q.ID, "service", q.service.Name, "limited", closed.limited, "paused", closed.paused,
+		"total", closed.supply.Total, "part", closed.supply.PerSecond, "priority", q.priority, "attempts", q.attempts, "notBefore", after)
+	if q.mayHaveRun {
+		return failedRefusal()
+	}
+	after = max(after, minPermitWait)
+	return &refusal{status: http.StatusServiceUnavailable, reason: "the targets take no more requests a second", retryAfter: after, notBefore: after}
+}
+
+// logLimit logs and counts that a target's limit has changed; attrs name what this router knows it
+// from.
+func (g *Gateway) logLimit(target string, l assessor.Limit, attrs ...any) {
+	g.metrics.limitChanges.WithLabelValues(l.Source.String()).Inc()
+	logger.TargetLimit.Log(g.Log, append([]any{"target", target, "start", l.Start, "source", l.Source.String(), "limited", l.Stated, "perSecond", l.PerSecond}, attrs...)...)
+}
+
+// maxTime returns the later one of two times.
+func maxTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -21,6 +21,8 @@
 	withdrawals *prometheus.CounterVec
 	// limitChanges counts changes of the limits that targets name.
 	limitChanges *prometheus.CounterVec
+	// limited counts the requests to targets that limit the rate of requests.
+	limited *prometheus.CounterVec
 	// storeEra is one more than how often the store has come back from a copy, or 0 if it does not
 	// tell; countedTokens counts tokens that were counted as drawn after that for other routers.
 	storeEra      prometheus.Gauge
@@ -31,7 +33,7 @@
 	requestLimit prometheus.Gauge
 }
 
-func newMetrics(r *prometheus.Registry, clientConnections func() float64) *metrics {
+func newMetrics(r *prometheus.Registry, clientConnections, limitedTargets func() float64) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_requests_total", Help: "Requests by route kind and outcome.",
@@ -55,6 +57,9 @@
 		limitChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_target_limit_changes_total", Help: "Changes of the limits of requests a second that targets name, by source.",
 		}, []string{"source"}),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_limited_requests_total", Help: "Requests to targets that limit the rate of requests, by outcome: sent at once, sent after a wait, or refused.",
+		}, []string{"outcome"}),
 		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "egretroute_gateway_store_era", Help: "Era of the platform's store: it rises when the store comes back from a copy.",
 		}),
@@ -69,9 +74,11 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.limitChanges, m.storeEra, m.countedTokens, m.lag, m.requestLimit, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		r.MustRegister(m.requests, m.firstByte, m.attempts, m.commits, m.crashes, m.withdrawals, m.limitChanges, m.limited, m.storeEra, m.countedTokens, m.lag, m.requestLimit, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "egretroute_gateway_client_connections", Help: "Open connections of clients.",
-		}, clientConnections))
+		}, clientConnections), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "egretroute_gateway_limited_targets", Help: "Targets that limit the rate of requests.",
+		}, limitedTargets))
 	}
 	return m
 }
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,7 +18,7 @@
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/storer"
 	"github.com/egretroute/egretroute/internal/request/assessor"
-	"github.com/egretroute/egretroute/internal/request/retrier"
+	"github.com/egretroute/egretroute/internal/request/sharer"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
@@ -49,6 +50,8 @@
 	members map[string]enroller.Member
 	// silentSince holds when a peer last left a request for a loan unanswered.
 	silentSince map[string]time.Time
+	// routerHashes holds the hashes of the names of all routers that have ever enrolled.
+	routerHashes atomic.Pointer[[]uint64]
 }
 
 // newPeerLinks returns peerLinks that opens no link before a member is known.
@@ -111,20 +114,35 @@
 // routerCount returns the number of routers that have ever enrolled, as far as this one
 // knows. It doesn't fall while routers can't reach each other.
 func (p *peerLinks) routerCount() float64 {
+	n := 1
+	if routers := p.routerHashes.Load(); routers != nil {
+		n = max(len(*routers), 1)
+	}
+	return float64(n)
+}
+
+// add adds a member.
+func (p *peerLinks) add(m enroller.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, m := range p.members {
-		if m.Kind == enroller.Router {
-			n++
-		}
+	_, known := p.members[m.Name]
+	p.members[m.Name] = m
+	if known || m.Kind != enroller.Router {
+		return
 	}
-	return float64(max(n, 1))
+	routers := []uint64{sharer.Hash(m.Name)}
+	if earlier := p.routerHashes.Load(); earlier != nil {
+		routers = append(routers, *earlier...)
+	}
+	p.routerHashes.Store(&routers)
 }
 
-// membership returns what this router knows of the routers that share the slack of retries.
-func (g *Gateway) membership() retrier.Membership {
-	m := retrier.Membership{Routers: int(g.peers.routerCount())}
+// membership returns what this router knows of the routers that share the fleet's budgets.
+func (g *Gateway) membership() sharer.Membership {
+	m := sharer.Membership{Self: sharer.Hash(g.Name)}
+	if routers := g.peers.routerHashes.Load(); routers != nil {
+		m.Routers = *routers
+	}
 	if v, ok := g.feeds.Load(membersTable); ok {
 		m.ReadAt = v.(feedState).succeededAt
 	}
@@ -143,7 +161,7 @@
 // to a peer and applies the peer's report from the reply.
 func (g *Gateway) exchangeReports(ctx context.Context, name string, link *linker.Link) error {
 	crashes := g.crashes.Request(link)
-	reply, err := linker.Call[*framer.PeerReport](ctx, link, g.report(crashes))
+	reply, err := linker.Call[*framer.PeerReport](ctx, link, g.report(crashes, g.tracker.isNew(name, link.Peer.Incarnation)))
 	if err != nil {
 		return err
 	}
@@ -152,14 +170,19 @@
 	return nil
 }
 
-func (g *Gateway) report(crashes suspecter.Message) *framer.PeerReport {
-	return &framer.PeerReport{Incarnation: g.Incarnation, Targets: g.tracker.ownReports(time.Now()), Crashes: crashes}
+// report returns the report to a peer; first is set if it is the first one to its start.
+func (g *Gateway) report(crashes suspecter.Message, first bool) *framer.PeerReport {
+	return &framer.PeerReport{Incarnation: g.Incarnation, Targets: g.tracker.ownReports(first, time.Now()), Crashes: crashes}
 }
 
 func (g *Gateway) applyReport(name string, r *framer.PeerReport) {
-	for _, leaving := range g.tracker.setPeerReports(name, r.Targets, time.Now()) {
+	news := g.tracker.setPeerReports(name, r.Incarnation, r.Targets, time.Now())
+	for _, leaving := range news.leaving {
 		g.logLeaving(leaving.Target, leaving.Start, assessor.Peer, "peer", name)
 	}
+	for target, limit := range news.limits {
+		g.logLimit(target, limit, "peer", name)
+	}
 }
 
 // ServeStream implements linker.Handler.
@@ -169,10 +192,11 @@
 	}
 	switch m := first.(type) {
 	case *framer.PeerReport:
+		first := g.tracker.isNew(s.Peer.Name, s.Peer.Incarnation)
 		g.applyReport(s.Peer.Name, m)
 		crashes, repeated := g.suspects.Reply(m.Crashes, suspecter.Own)
 		g.logCrashes(s.Peer.Name, repeated)
-		_ = s.Write(g.report(crashes)) // on failure the peer sees the stream end
+		_ = s.Write(g.report(crashes, first)) // on failure the peer sees the stream end
 	case *framer.FetchRowCache:
 		_ = s.Write(g.cachedRows()) // on failure the peer sees the stream end
 	case *framer.Reserve:
@@ -212,9 +236,7 @@
 		return
 	}
 	g.rowCache.put(g.rowCache.members, row)
-	g.peers.mu.Lock()
-	defer g.peers.mu.Unlock()
-	g.peers.members[m.Name] = m
+	g.peers.add(m)
 }
 
 // updateLinks sets the links to all other routers and to some companions.
--- a/internal/process/gateway/targetfacts.go
+++ b/internal/process/gateway/targetfacts.go
@@ -6,6 +6,7 @@
 
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/request/assessor"
+	"github.com/egretroute/egretroute/internal/request/throttler"
 )
 
 // closedTargets counts the targets of a service that take no requests from this router.
@@ -14,12 +15,19 @@
 	paused  int
 	// pausedUntil is the earliest end of a pause.
 	pausedUntil time.Time
+	// limited counts the targets that take no request now since they limit the rate, supply what
+	// they take.
+	limited int
+	supply  throttler.Supply
 }
 
-// open returns the targets that take requests from this router, and counts the others.
-func (t *targetTracker) open(entries []registrar.Entry, now time.Time) (open []registrar.Entry, closed closedTargets) {
+// open returns the targets that take the request from this router, and counts the others. The
+// permits of limited targets go to the requests that wait for them first.
+func (t *targetTracker) open(q *request, entries []registrar.Entry, now time.Time) (open []registrar.Entry, closed closedTargets) {
+	m := t.membership()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	ahead := t.service(q.service.Name).queue.Ahead(q.waiter, q.priority)
 	open = make([]registrar.Entry, 0, len(entries))
 	for _, e := range entries {
 		switch a := t.target(e.ID).Assess(e.StartedAt, now); a.State {
@@ -31,7 +39,18 @@
 				closed.pausedUntil = a.Until
 			}
 		default:
-			open = append(open, e)
+			th := t.throttle(e, m, now)
+			switch {
+			case !th.limited:
+				open = append(open, e)
+			case ahead == 0 && th.open(now):
+				open = append(open, e)
+			default:
+				if th.open(now) {
+					ahead--
+				}
+				closed.addLimited(th)
+			}
 		}
 	}
 	return open, closed
@@ -78,7 +97,16 @@
 	defer t.mu.Unlock()
 	s, f := t.fact(target, now)
 	limit := assessor.Limit{Fact: f, SentAt: sentAt, Stated: l.Stated, PerSecond: l.PerSecond}
-	return limit, s.RecordLimit(limit)
+	changed := s.RecordLimit(limit)
+	t.markLimitChange(s, changed, now)
+	return limit, changed
+}
+
+// markLimitChange has peers told of a changed limit; t.mu must be held.
+func (t *targetTracker) markLimitChange(s *targetState, changed bool, now time.Time) {
+	if changed {
+		s.limitChangedAt, t.urgentChange = now, true
+	}
 }
 
 // recordCrash records that a target has crashed.
@@ -101,14 +129,34 @@
 // report has room for are also in the targets' entries soon.
 const maxReportedFacts = 8
 
+// maxFirstFacts bounds them in the first report to a process, which is told of all limits.
+const maxFirstFacts = 64
+
+// isNew reports whether nothing has come from this start of a router since its link came up.
+func (t *targetTracker) isNew(peer, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peerLoads[peer]
+	return !ok || p.incarnation != incarnation
+}
+
 // ownReports returns what this router tells its peers of targets: the load of those with
-// running requests, and the newest facts about others.
-func (t *targetTracker) ownReports(now time.Time) (reports []assessor.Report) {
+// running requests, and the newest facts about others. Of limits only news are told, unless it is
+// the first report to a peer.
+func (t *targetTracker) ownReports(first bool, now time.Time) (reports []assessor.Report) {
+	most := maxReportedFacts
+	if first {
+		most = maxFirstFacts
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var idle []assessor.Report
 	for id, s := range t.targets {
-		switch r := s.Report(id, s.start, now); {
+		r := s.Report(id, s.start, now)
+		if !first && now.Sub(s.limitChangedAt) > limitToldTime {
+			r.Limit = assessor.LimitReport{}
+		}
+		switch {
 		case r.Load.Running() > 0:
 			reports = append(reports, r)
 		case !r.Empty():
@@ -118,23 +166,37 @@
 	slices.SortFunc(idle, func(a, b assessor.Report) int {
 		return t.targets[b.Target].LearnedAt().Compare(t.targets[a.Target].LearnedAt())
 	})
-	return append(reports, idle[:min(len(idle), maxReportedFacts)]...)
+	return append(reports, idle[:min(len(idle), most)]...)
+}
+
+// peerNews is what a router's report says that is new.
+type peerNews struct {
+	leaving []assessor.Report
+	limits  map[string]assessor.Limit // by target
 }
 
-// setPeerReports replaces the reports of another router. It returns the targets of which it
-// is news that they leave.
-func (t *targetTracker) setPeerReports(name string, reports []assessor.Report, now time.Time) (leaving []assessor.Report) {
-	p := peerLoads{receivedAt: now, targets: make(map[string]assessor.Report, len(reports))}
+// setPeerReports replaces the reports of another router and returns what is new.
+func (t *targetTracker) setPeerReports(name, incarnation string, reports []assessor.Report, now time.Time) (news peerNews) {
+	p := peerLoads{receivedAt: now, incarnation: incarnation, targets: make(map[string]assessor.Report, len(reports))}
+	news.limits = make(map[string]assessor.Limit)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range reports {
 		p.targets[r.Target] = r
-		if r.Leaving || r.PauseLeft > 0 || r.Crashed {
-			if t.target(r.Target).RecordReport(r, now) {
-				leaving = append(leaving, r)
-			}
+		if !r.Leaving && r.PauseLeft == 0 && !r.Crashed && !r.Limit.Known {
+			continue
+		}
+		s := t.target(r.Target)
+		leaves, limitChanged := s.RecordReport(r, now)
+		if leaves {
+			news.leaving = append(news.leaving, r)
 		}
+		if limitChanged {
+			s.sawStart(r.Start)
+			news.limits[r.Target] = s.Limit(r.Start)
+		}
+		t.markLimitChange(s, limitChanged, now)
 	}
 	t.peerLoads[name] = p
-	return leaving
+	return news
 }
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -10,6 +10,8 @@
 	"github.com/egretroute/egretroute/internal/request/assessor"
 	"github.com/egretroute/egretroute/internal/request/ejector"
 	"github.com/egretroute/egretroute/internal/request/placer"
+	"github.com/egretroute/egretroute/internal/request/sharer"
+	"github.com/egretroute/egretroute/internal/request/throttler"
 )
 
 const (
@@ -38,7 +40,10 @@
 	// start is the newest start of the target that this router knows.
 	start     time.Time
 	abandoned abandonedRequests
-	prefixes  prefixCache
+	// permits are this router's for the target's limit, which changed last at limitChangedAt.
+	permits        throttler.Bucket
+	limitChangedAt time.Time
+	prefixes       prefixCache
 	// secondsPerToken is the prefill time per token: a moving average of the time to
 	// the first token, divided by the tokens to prefill until then. samples counts the
 	// requests in the average.
@@ -65,10 +70,12 @@
 	s.secondsPerToken += (sample - s.secondsPerToken) * prefillSampleWeight
 }
 
-// serviceState holds how many of a service's targets serve short requests.
+// serviceState holds how many of a service's targets serve short requests, and which requests wait.
 type serviceState struct {
 	shortTargets float64
 	updatedAt    time.Time
+	// queue holds the requests that wait for permits of limited targets.
+	queue throttler.Queue
 }
 
 // targetTracker tracks the load and health of all targets, from this router's own
@@ -76,6 +83,8 @@
 type targetTracker struct {
 	// others returns the number of other routers.
 	others func() int
+	// membership returns what is known of the routers that share the limits of targets.
+	membership func() sharer.Membership
 
 	mu        sync.Mutex // guards all below
 	targets   map[string]*targetState
@@ -109,8 +118,9 @@
 
 // peerLoads is another router's last report of its running requests, by target.
 type peerLoads struct {
-	receivedAt time.Time
-	targets    map[string]assessor.Report
+	receivedAt  time.Time
+	incarnation string
+	targets     map[string]assessor.Report
 }
 
 const (
@@ -121,10 +131,11 @@
 	demandLifetime   = 5 * time.Second
 )
 
-// newTargetTracker returns a tracker; others returns the number of other routers.
-func newTargetTracker(others func() int) *targetTracker {
+// newTargetTracker returns a tracker; others returns the number of other routers, membership what is
+// known of them.
+func newTargetTracker(others func() int, membership func() sharer.Membership) *targetTracker {
 	return &targetTracker{
-		others:  others,
+		others: others, membership: membership,
 		targets: make(map[string]*targetState), services: make(map[string]*serviceState), peerLoads: make(map[string]peerLoads),
 		suspects: make(map[string]int), suspectEnded: make(chan struct{}),
 	}
@@ -181,6 +192,7 @@
 	targets := make([]placer.Target, len(entries))
 	slots := 1
 	var own placer.Demand
+	unlimited := 0
 	mean := t.meanSecondsPerToken(entries)
 	for i, e := range entries {
 		s := t.target(e.ID)
@@ -189,15 +201,19 @@
 		own.Long += s.Load.LongRequests
 		load := s.Load
 		load.Add(t.peerLoad(e.ID, e.StartedAt, now))
+		limited := s.Limit(e.StartedAt).Stated
+		if !limited {
+			unlimited++
+		}
 		targets[i] = placer.Target{
 			ID: e.ID, Hash: xxhash.Sum64String(e.ID), Domain: e.Domain, Slots: e.Slots, PendingTokens: load.PendingTokens,
 			Running: load.Running(), Ejected: s.Assess(e.StartedAt, now).Last,
-			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean), Suspects: load.Suspects,
+			Cached: s.prefixes.cached(shape.AffinityKey, now), Slowness: s.slowness(mean), Suspects: load.Suspects, Limited: limited,
 		}
 	}
 	reported, known := t.reportedDemand(entries, now)
 	demand := placer.FleetDemand(own, reported, known, others)
-	split := placer.PoolSplit{ShortTargets: t.shortTargets(service, demand, len(entries), slots, now)}
+	split := placer.PoolSplit{ShortTargets: t.shortTargets(service, demand, unlimited, slots, now)}
 	return placer.Plan(shape, targets, split)
 }
 
@@ -250,20 +266,29 @@
 	pendingTokens int64 // prompt tokens of this request to prefill
 	tokensAhead   int64 // tokens of other requests to prefill before it
 	prefilled     bool
+	limited       bool // it holds a permit of its target's limit
 }
 
 // begin counts a request as running at a target until its end method is called. If alone
 // is set and this router has a suspect running there, or one with the same digest running
-// anywhere, it returns nil and a channel that is closed when a suspect ends.
+// anywhere, it returns nil and a channel that is closed when a suspect ends. If the target's last
+// permit has gone to another request, it returns nil and a closed channel.
 func (t *targetTracker) begin(target registrar.Entry, shape placer.Request, digest string, alone bool, now time.Time) (*inFlightRequest, <-chan struct{}) {
+	m := t.membership()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.target(target.ID)
 	if alone && (s.Load.Suspects > 0 || t.suspects[digest] > 0) {
 		return nil, t.suspectEnded
 	}
+	limited, ok := t.takePermit(s, target, m, now)
+	if !ok {
+		taken := make(chan struct{})
+		close(taken)
+		return nil, taken
+	}
 	s.sawStart(target.StartedAt)
-	r := &inFlightRequest{tracker: t, target: target.ID, digest: digest, shape: shape, pendingTokens: shape.UniqueTokens, startedAt: now}
+	r := &inFlightRequest{tracker: t, limited: limited, target: target.ID, digest: digest, shape: shape, pendingTokens: shape.UniqueTokens, startedAt: now}
 	if shape.Engine {
 		if !s.prefixes.cached(shape.AffinityKey, now) {
 			r.pendingTokens += shape.SharedTokens
--- a/internal/process/gateway/tracker_test.go
+++ b/internal/process/gateway/tracker_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/request/placer"
+	"github.com/egretroute/egretroute/internal/request/sharer"
 )
 
 // TestFailuresOfOneCrashCountOnce fails thirty requests of one batch at once, as a crash
@@ -16,7 +17,7 @@
 // extended the ejection, it would stay out for four seconds.
 func TestFailuresOfOneCrashCountOnce(t *testing.T) {
 	const minEjection = 500 * time.Millisecond
-	tracker := newTargetTracker(func() int { return 0 })
+	tracker := newTargetTracker(func() int { return 0 }, func() sharer.Membership { return sharer.Membership{} })
 	now := time.Unix(1000, 0)
 	for range 30 {
 		assert.Assert(t, tracker.recordLoss("i-1", now) <= minEjection)
@@ -30,7 +31,7 @@
 // TestRemovedTargetsArePruned checks that the state of a removed target is dropped,
 // but not while a request is in flight there.
 func TestRemovedTargetsArePruned(t *testing.T) {
-	tracker := newTargetTracker(func() int { return 0 })
+	tracker := newTargetTracker(func() int { return 0 }, func() sharer.Membership { return sharer.Membership{} })
 	shape := placer.Request{PromptTokens: 10, UniqueTokens: 10, Engine: true}
 	inFlight, _ := tracker.begin(registrar.Entry{ID: "i-1"}, shape, "", false, time.Unix(1000, 0))
 	other, _ := tracker.begin(registrar.Entry{ID: "i-2"}, shape, "", false, time.Unix(1000, 0))
@@ -46,7 +47,7 @@
 // TestSuspectsRunApart checks that a suspect begins at a target only once this router's
 // other suspects there have ended, and that other requests don't wait for them.
 func TestSuspectsRunApart(t *testing.T) {
-	tracker, now := newTargetTracker(func() int { return 0 }), time.Unix(1000, 0)
+	tracker, now := newTargetTracker(func() int { return 0 }, func() sharer.Membership { return sharer.Membership{} }), time.Unix(1000, 0)
 	suspect := placer.Request{Suspect: true}
 	first, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, "a", true, now)
 	refused, ended := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, "b", true, now)
@@ -68,14 +69,14 @@
 	forced.end()
 	again, _ := tracker.begin(registrar.Entry{ID: "i-1"}, suspect, "f", true, now)
 	assert.Assert(t, again != nil)
-	assert.Equal(t, tracker.ownReports(now)[0].Load.Suspects, 1)
+	assert.Equal(t, tracker.ownReports(false, now)[0].Load.Suspects, 1)
 }
 
 // TestReportsHoldTheNewestFacts lets many targets leave, as in a release. A report must stay
 // small, and hold all targets with running requests and those that said so last.
 func TestReportsHoldTheNewestFacts(t *testing.T) {
 	const targets = 40
-	tracker, now := newTargetTracker(func() int { return 0 }), time.Unix(1000, 0)
+	tracker, now := newTargetTracker(func() int { return 0 }, func() sharer.Membership { return sharer.Membership{} }), time.Unix(1000, 0)
 	for i := range targets {
 		target := registrar.Entry{ID: fmt.Sprintf("i-%d", i)}
 		tracker.recordLeaving(target, now.Add(time.Duration(i)*time.Second))
@@ -84,7 +85,7 @@
 			assert.Assert(t, inFlight != nil)
 		}
 	}
-	reports := tracker.ownReports(now.Add(time.Minute))
+	reports := tracker.ownReports(false, now.Add(time.Minute))
 	assert.Equal(t, len(reports), 3+maxReportedFacts)
 	for i, r := range reports[3:] {
 		assert.Equal(t, r.Target, fmt.Sprintf("i-%d", targets-1-i))
--- a/internal/process/gateway/withdrawals.go
+++ b/internal/process/gateway/withdrawals.go
@@ -30,13 +30,6 @@
 	}
 }
 
-// logLimit logs and counts that a target's limit has changed; attrs name what this router knows it
-// from.
-func (g *Gateway) logLimit(target string, l assessor.Limit, attrs ...any) {
-	g.metrics.limitChanges.WithLabelValues(l.Source.String()).Inc()
-	logger.TargetLimit.Log(g.Log, append([]any{"target", target, "start", l.Start, "source", l.Source.String(), "limited", l.Stated, "perSecond", l.PerSecond}, attrs...)...)
-}
-
 // logLeaving logs and counts that a target leaves; attrs name what this router knows it from.
 func (g *Gateway) logLeaving(target string, start time.Time, source assessor.Source, attrs ...any) {
 	g.metrics.withdrawals.WithLabelValues("leaving", source.String()).Inc()
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -111,6 +111,7 @@
 	MembersRestored           = Event{367, slog.LevelInfo, "rows of members that the platform's store has lost were written again", "none"}
 	TargetLimit               = Event{368, slog.LevelInfo, "target's limit of requests a second is new, has changed or has ended", "none; a low one means that the target is in trouble"}
 	TargetLimitUnreadable     = Event{369, slog.LevelWarn, "target states a limit that can't be read; the one known stays", "check the target's release"}
+	TargetsLimited            = Event{370, slog.LevelWarn, "no target left: some take no more requests a second", "too few targets, or targets in trouble: see total, part and notBefore; docs/OPERATIONS.md"}
 )
 
 // Catalogue lists all events in ascending order of number.
@@ -126,5 +127,5 @@
 	RowsFetchedFromPeer,
 	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	TargetLeaving, TargetPaused, TargetsPaused,
-	ClientConnections, Overload, BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped, DrawsRecorded, MembersRestored, TargetLimit, TargetLimitUnreadable,
+	ClientConnections, Overload, BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped, DrawsRecorded, MembersRestored, TargetLimit, TargetLimitUnreadable, TargetsLimited,
 }
--- a/internal/request/assessor/assessor.go
+++ b/internal/request/assessor/assessor.go
@@ -13,6 +13,8 @@
 //   - Targets that ask for a pause. An overloaded target that refuses a request may state for
 //     how long it wants none from this router. Requests that are sent all the same are refused
 //     too, and keep the target busy. Other routers, which it has not told, use it last.
+//   - Targets that limit the rate of requests from all routers together. The responses that name
+//     a limit, another one or none any more overtake each other; all routers are told.
 //   - Targets that crashed. Routers that had no request there learn of it from others, and
 //     use the target last for a moment, or until it starts again.
 //
@@ -185,7 +187,7 @@
 // LearnedAt returns when the newest fact was learned, or the zero time if there is none.
 func (t *Target) LearnedAt() time.Time {
 	newest := t.leaving.At
-	for _, at := range []time.Time{t.paused.At, t.peerPaused.At, t.crashed.At} {
+	for _, at := range []time.Time{t.paused.At, t.peerPaused.At, t.crashed.At, t.limit.At} {
 		if at.After(newest) {
 			newest = at
 		}
@@ -196,7 +198,7 @@
 // Expired reports whether all facts are too old to be kept for a target that is no longer
 // listed.
 func (t *Target) Expired(now time.Time) bool {
-	for _, at := range []time.Time{t.leaving.At, t.paused.At, t.paused.Until} {
+	for _, at := range []time.Time{t.leaving.At, t.paused.At, t.paused.Until, t.limit.At} {
 		if !at.IsZero() && now.Sub(at) < factLifetime {
 			return false
 		}
--- a/internal/request/assessor/limit.go
+++ b/internal/request/assessor/limit.go
@@ -68,3 +68,31 @@
 	}
 	return t.limit
 }
+
+// LimitReport is what one router tells another of a target's limit.
+type LimitReport struct {
+	// Known is set if there is something to tell.
+	Known     bool
+	Stated    bool
+	PerSecond float64
+	// Age is the time since the response was received, SentAge since its request was sent.
+	Age     time.Duration
+	SentAge time.Duration
+}
+
+// limitReport returns what to tell others of the limit of the start with the given time.
+func (t *Target) limitReport(start, now time.Time) LimitReport {
+	l := t.Limit(start)
+	if l.At.IsZero() {
+		return LimitReport{}
+	}
+	return LimitReport{Known: true, Stated: l.Stated, PerSecond: l.PerSecond, Age: max(now.Sub(l.At), 0), SentAge: max(now.Sub(l.SentAt), 0)}
+}
+
+// limit returns the limit that another router's report tells.
+func (r Report) limit(now time.Time) Limit {
+	return Limit{
+		Fact:   Fact{Start: r.Start, At: now.Add(-max(r.Limit.Age, 0)), Source: Peer},
+		SentAt: now.Add(-max(r.Limit.SentAge, 0)), Stated: r.Limit.Stated, PerSecond: max(r.Limit.PerSecond, 0),
+	}
+}
--- a/internal/request/assessor/report.go
+++ b/internal/request/assessor/report.go
@@ -16,11 +16,12 @@
 	// Crashed is set if the router has seen the target crash, CrashAge ago.
 	Crashed  bool
 	CrashAge time.Duration
+	Limit    LimitReport
 }
 
 // Empty reports whether there is nothing to tell.
 func (r Report) Empty() bool {
-	return r.Load == Load{} && !r.Leaving && r.PauseLeft == 0 && !r.Crashed
+	return r.Load == Load{} && !r.Leaving && r.PauseLeft == 0 && !r.Crashed && !r.Limit.Known
 }
 
 // LoadOn returns the reported load on the start of the target with the given time. A load
@@ -33,7 +34,8 @@
 }
 
 // Report returns what to tell others of the start of the target with the given time. What
-// this router has only heard from others is left out: they tell it themselves.
+// this router has only heard from others is left out, but for the target's limit: others tell the
+// rest themselves, while few routers send requests to a limited target.
 func (t *Target) Report(id string, start, now time.Time) Report {
 	r := Report{Target: id, Start: start, Load: t.Load, Leaving: t.leaving.about(start) && t.leaving.Source == Response}
 	if until := t.paused.active(start, now); !until.IsZero() {
@@ -42,12 +44,13 @@
 	if age := now.Sub(t.crashed.At); t.crashed.about(start) && t.crashed.Source == Response && age < crashLifetime {
 		r.Crashed, r.CrashAge = true, max(age, 0)
 	}
+	r.Limit = t.limitReport(start, now)
 	return r
 }
 
 // RecordReport records another router's report, except for its load, and reports whether it
-// is news that the target leaves.
-func (t *Target) RecordReport(r Report, now time.Time) (leaves bool) {
+// is news that the target leaves and whether its limit has changed.
+func (t *Target) RecordReport(r Report, now time.Time) (leaves, limitChanged bool) {
 	f := Fact{Start: r.Start, At: now, Source: Peer}
 	if r.Crashed {
 		t.RecordCrash(Fact{Start: r.Start, At: now.Add(-max(r.CrashAge, 0)), Source: Peer})
@@ -55,5 +58,5 @@
 	if r.PauseLeft > 0 {
 		t.RecordPause(f, r.PauseLeft)
 	}
-	return r.Leaving && t.RecordLeaving(f)
+	return r.Leaving && t.RecordLeaving(f), r.Limit.Known && t.RecordLimit(r.limit(now))
 }
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -18,6 +18,9 @@
 //     loaded to each router, so requests are spread over these at random.
 //   - Plain services. The least loaded target takes the request; among equally
 //     loaded ones, a target in the router's own failure domain.
+//   - Targets that limit the rate of requests. They belong to no part of the split and are no
+//     request's preferred ones, so that neither changes whenever one takes a request; each is as good
+//     as others for a request whose prefix it has cached, or that has none.
 //   - Requests that may crash their target. Suspects are kept apart from each other, so
 //     that a crash has one cause. At a plain service other requests avoid their targets
 //     too, as long as the others have room.
@@ -107,6 +110,8 @@
 	Cached bool
 	// Ejected is set for a while after failures; the target is ranked last then.
 	Ejected bool
+	// Limited is set if the target limits the rate of requests: it takes one now and then.
+	Limited bool
 	// Suspects is the number of suspects among the running requests.
 	Suspects int
 	// Slowness is the factor by which the target is slower than its peers, or 0 if unknown.
@@ -199,6 +204,7 @@
 		return rankByLoad(targets, r.Domain)
 	}
 	eligible, others := partition(targets, split, r.Long())
+	eligible = append(eligible, limited(targets)...)
 	ranked, otherRanked := rank(r, targets, eligible), rank(r, targets, others)
 	if len(ranked) == 0 || (len(otherRanked) > 0 && spills(r, targets[otherRanked[0].Index], ranked[0].Cost, otherRanked[0].Cost)) {
 		ranked, otherRanked = otherRanked, ranked
@@ -219,12 +225,24 @@
 	return !r.Long() || otherCost < maxSpillCost
 }
 
-// partition returns the targets for the request's kind and the others. Every
+// limited returns the limited targets.
+func limited(targets []Target) (indexes []int) {
+	for i, t := range targets {
+		if t.Limited {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
+// partition returns the targets for the request's kind and the others, without limited ones. Every
 // router orders targets by their hash, so all routers get the same partition.
 func partition(targets []Target, split PoolSplit, long bool) (eligible, others []int) {
-	order := make([]int, len(targets))
-	for i := range order {
-		order[i] = i
+	order := make([]int, 0, len(targets))
+	for i, t := range targets {
+		if !t.Limited {
+			order = append(order, i)
+		}
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(targets[a].Hash, targets[b].Hash) })
 	n := min(max(split.ShortTargets, 0), len(order))
@@ -232,9 +250,9 @@
 		return order, nil
 	}
 	if long {
-		return order[n:], order[:n]
+		return slices.Clip(order[n:]), order[:n]
 	}
-	return order[:n], order[n:]
+	return slices.Clip(order[:n]), order[n:]
 }
 
 // rank orders targets by the cost of the request there.
@@ -268,12 +286,12 @@
 const preferredCount = 1
 
 // preferredTargets returns the targets with the highest rendezvous hashing scores;
-// ejected targets are left out.
+// ejected and limited targets are left out.
 func preferredTargets(affinityKey uint64, targets []Target, subset []int) []int {
 	best := make([]int, 0, preferredCount)
 	scores := make([]uint64, 0, preferredCount)
 	for _, i := range subset {
-		if targets[i].Ejected {
+		if targets[i].Ejected || targets[i].Limited {
 			continue
 		}
 		score := mix(affinityKey ^ targets[i].Hash)
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -4,7 +4,7 @@
 // requests plus a fixed slack. Without the bound, retries multiply the load that makes
 // attempts fail. Each router decides alone. It may always use the share of its own requests;
 // the slack is divided among the routers, and a router that doesn't know how many there are
-// gets none of it (Membership.Share).
+// gets none of it; see package sharer.
 //
 // # Usage
 //
@@ -18,6 +18,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/egretroute/egretroute/internal/request/sharer"
 )
 
 const (
@@ -37,26 +39,14 @@
 	Slack  float64
 }
 
-// Membership is what a router knows of the routers that share the slack.
-type Membership struct {
-	// Routers is the number of routers that have ever enrolled, this one included.
-	Routers int
-	// ReadAt is when Routers was known to be up to date, EnrolledAt when this process was
-	// enrolled; zero if never.
-	ReadAt     time.Time
-	EnrolledAt time.Time
-}
-
-// Share returns a router's part of the slack. It is 0 until a window has passed since the
-// process enrolled: until then an earlier process of the router may have used the part, and
-// other routers may not know of this one. It is 0 again once Routers was not up to date for a
-// window. So all routers that use a part at the same time have counted each other, however
-// they are partitioned.
-func (m Membership) Share(l Limits, now time.Time) float64 {
-	if m.ReadAt.IsZero() || now.Sub(m.ReadAt) > l.Window || m.EnrolledAt.IsZero() || now.Sub(m.EnrolledAt) < l.Window {
+// share returns a router's part of the slack. It is 0 until a window has passed since the process
+// enrolled: until then an earlier process of the router may have used the part. It is 0 again once
+// the list of members was not up to date for a window.
+func (l Limits) share(m sharer.Membership, now time.Time) float64 {
+	if !m.Certain(l.Window, l.Window, now) {
 		return 0
 	}
-	return l.Slack / float64(max(m.Routers, 1))
+	return l.Slack / float64(m.Count())
 }
 
 // Budget counts one router's requests and retries over a sliding window. It measures time by
@@ -88,7 +78,7 @@
 }
 
 // Allow reports whether the budget of a service covers one more retry, and counts it if so.
-func (b *Budget) Allow(service string, m Membership, now time.Time) bool {
+func (b *Budget) Allow(service string, m sharer.Membership, now time.Time) bool {
 	limits := b.Limits()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -100,7 +90,7 @@
 			retries += s.retries
 		}
 	}
-	budget := usedShare * (limits.Ratio*float64(requests) + m.Share(limits, now))
+	budget := usedShare * (limits.Ratio*float64(requests) + limits.share(m, now))
 	if float64(retries+1) > budget {
 		return false
 	}
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -12,12 +12,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/egretroute/egretroute/internal/request/retrier"
+	"github.com/egretroute/egretroute/internal/request/sharer"
 )
 
 // router is one router of a simulated fleet, in model time.
 type router struct {
 	budget     *retrier.Budget
-	membership retrier.Membership
+	membership sharer.Membership
 	up         bool
 	reads      bool // it reaches the store
 	frozen     bool
@@ -50,11 +51,11 @@
 // start starts a router anew; it enrolls with its next step if it reaches the store.
 func (f *fleet) start(i int) {
 	r := f.routers[i]
-	if r.membership.Routers == 0 {
+	if r.budget == nil {
 		f.enrolled++
 	}
 	r.budget = &retrier.Budget{Limits: func() retrier.Limits { return f.limits }}
-	r.membership, r.up = retrier.Membership{Routers: 1}, true
+	r.membership, r.up = sharer.Membership{}, true
 }
 
 // run plays steps of time in which each router gets requests, each of which is sent again as
@@ -68,7 +69,7 @@
 				continue
 			}
 			if r.reads {
-				r.membership.Routers, r.membership.ReadAt = f.enrolled, f.now
+				r.membership.Routers, r.membership.ReadAt = make([]uint64, f.enrolled), f.now
 				if r.membership.EnrolledAt.IsZero() {
 					r.membership.EnrolledAt = f.now
 				}
--- /dev/null
+++ b/internal/request/throttler/throttler.go
@@ -0,0 +1,135 @@
+// Package throttler decides when a router may send a request to a target that limits the rate of
+// requests from all routers together.
+//
+// The limit is often smaller than the number of routers, which can't ask each other before each
+// request. A few routers, chosen by rendezvous hashing, hold equal parts of a target's limit
+// (PartOf); the others send it nothing. Each holder has a Bucket of few permits, mostly one, which
+// its part refills. So in a window of length t, k holders of a limit l send at most k + l*t requests
+// if no bucket holds more than one, also if all of them have waited for long: the number of holders
+// keeps the sum within what a target tolerates. It handles these load patterns:
+//
+//   - Targets that take fewer requests a second than there are routers. An equal part for each
+//     router would let all of them send a request at the same moment.
+//   - Routers that know little: that have just started, or can't read the list of members. Of
+//     these only the one that ranks itself first sends, at a small part of the limit, so that two
+//     views of the members, each with a first router of its own, stay within the sum too.
+//   - Callers that want more than all targets of a service take. Queue lets the most urgent ones
+//     wait for the next permits and tells the others when to return, one after the other.
+//
+// # Usage
+//
+//	part := throttler.PartOf(limit, sharer.Hash(target), membership, now)
+//	if bucket.Take(part, now) {
+//		// Send the request; call bucket.Return() if no byte of it was sent.
+//	}
+package throttler
+
+import (
+	"time"
+
+	"github.com/egretroute/egretroute/internal/request/sharer"
+)
+
+const (
+	// minLimit is the rate, in requests a second, that counts as a lower limit: a router learns
+	// only from a response that the limit has risen or ended.
+	minLimit = 0.1
+	// minHolders is the number of routers that hold parts of the lowest limits. Each request a
+	// second more has one holder more.
+	minHolders = 3
+	// uncertainShare is the share of the limit that a router uses which doesn't know all others.
+	uncertainShare = 1.0 / 8
+	// freshTime is the age up to which the list of members counts as up to date: a few times as
+	// long as the store holds a call without changes. settleTime is how long a process is enrolled
+	// before others rely on it; all others have read its row by then.
+	freshTime  = 3 * time.Second
+	settleTime = 5 * time.Second
+	// burstTime is how long a part takes to fill its bucket, if that is more than one permit.
+	burstTime = 500 * time.Millisecond
+	// returnTime is the time over which the routers return to a target whose limit has ended.
+	returnTime = 2 * time.Second
+)
+
+// Part is a router's part of a target's limit. The zero value lets nothing through.
+type Part struct {
+	// PerSecond is the rate of requests that the router may send.
+	PerSecond float64
+	// Initial is the number of permits, at most one, that the router begins with: the holders
+	// begin at different ones, so that their requests are spread.
+	Initial float64
+}
+
+// PartOf returns this router's part of a limit in requests a second; key identifies the target.
+func PartOf(limit float64, key uint64, m sharer.Membership, now time.Time) Part {
+	limit = max(limit, minLimit)
+	rank := m.Rank(key)
+	if !m.Certain(freshTime, settleTime, now) {
+		if rank > 0 || m.ReadAt.IsZero() {
+			return Part{}
+		}
+		return Part{PerSecond: limit * uncertainShare}
+	}
+	holders := m.Count()
+	if limit < float64(holders) {
+		holders = min(holders, minHolders+int(limit))
+	}
+	if rank >= holders {
+		return Part{}
+	}
+	return Part{PerSecond: limit / float64(holders), Initial: (float64(rank) + 0.5) / float64(holders)}
+}
+
+// capacity returns the most permits that a bucket holds.
+func (p Part) capacity() float64 {
+	return max(p.PerSecond*burstTime.Seconds(), 1)
+}
+
+// ReturnDelay returns how long after the end of a target's limit this router uses the target again.
+// The routers return one after the other.
+func ReturnDelay(key uint64, m sharer.Membership) time.Duration {
+	return returnTime * time.Duration(m.Rank(key)) / time.Duration(m.Count())
+}
+
+// Bucket holds the permits of one router for one target. Its zero value is a bucket that has not
+// been used.
+type Bucket struct {
+	permits   float64
+	updatedAt time.Time
+}
+
+// refill adds the permits since the last call.
+func (b *Bucket) refill(p Part, now time.Time) {
+	if b.updatedAt.IsZero() {
+		b.permits = p.Initial
+	} else {
+		b.permits += p.PerSecond * max(now.Sub(b.updatedAt), 0).Seconds()
+	}
+	b.permits, b.updatedAt = min(b.permits, p.capacity()), now
+}
+
+// Next returns when the next permit is available, not before now; false means never.
+func (b *Bucket) Next(p Part, now time.Time) (time.Time, bool) {
+	b.refill(p, now)
+	switch {
+	case b.permits >= 1:
+		return now, true
+	case p.PerSecond <= 0:
+		return time.Time{}, false
+	}
+	return now.Add(time.Duration((1 - b.permits) / p.PerSecond * float64(time.Second))).Add(1), true
+}
+
+// Take takes a permit, if one is available.
+func (b *Bucket) Take(p Part, now time.Time) bool {
+	b.refill(p, now)
+	if b.permits < 1 {
+		return false
+	}
+	b.permits--
+	return true
+}
+
+// Return gives a permit back that was not used.
+func (b *Bucket) Return() {
+	b.permits++ // the next refill keeps it within the capacity
+}
