--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -119,6 +119,12 @@
 	{"store comes back from a copy", func(s *Soak, random *rand.Rand) func() { return s.restoreCopy(random) }},
 }
 
+// namedLimits are drawn from a sequence of their own too.
+var namedLimits = []fault{
+	{"target limits the rate", func(s *Soak, random *rand.Rand) func() { return s.limit([]*target{pick(random, s.targets)}, random) }},
+	{"service limits the rate", func(s *Soak, random *rand.Rand) func() { return s.limit(s.targetsOf(random), random) }},
+}
+
 // endlessResponses are drawn from a sequence of their own too.
 var endlessResponses = []fault{
 	{"response without end", func(s *Soak, random *rand.Rand) func() {
@@ -311,6 +317,11 @@
 		sleep(ctx, randomDuration(random, copyGap))
 		s.injectSequence(ctx, &wg, end, random, restorations, copyGap)
 	})
+	wg.Go(func() {
+		random := rand.New(rand.NewPCG(s.Seed, 7))
+		sleep(ctx, randomDuration(random, limitGap))
+		s.injectSequence(ctx, &wg, end, random, namedLimits, limitGap)
+	})
 	s.injectSequence(ctx, &wg, end, s.random, faults, maxGap)
 }
 
@@ -349,6 +360,7 @@
 	for _, t := range s.targets {
 		t.proxy.setMode(modePass)
 		t.standin.SetBehaviour(healthyBehaviour)
+		t.standin.SetRateLimits()
 		s.putEntry(t, "ready")
 	}
 }
--- a/internal/trial/soaker/history.go
+++ b/internal/trial/soaker/history.go
@@ -79,6 +79,7 @@
 	found = append(found, e.checkVersions()...)
 	found = append(found, e.checkCrashes(runs)...)
 	found = append(found, e.checkWithdrawals(arrivals)...)
+	found = append(found, e.checkLimits(arrivals)...)
 	return append(found, e.checkRecovery(b)...)
 }
 
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -174,6 +174,8 @@
 			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, Leaving: true})
 		case "pause": // it did, and the target wants nothing for this number of seconds
 			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, RetryAfter: value})
+		case "limit": // it did, and the target named this limit
+			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, RateLimit: value})
 		case "frozen":
 			s.GatewayFrozen = true
 		case "begun":
