--- a/internal/request/assessor/assessor_test.go
+++ b/internal/request/assessor/assessor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +41,18 @@
 	return "open"
 }
 
+// parseLimit parses the arguments of a limit step.
+func parseLimit(t *testing.T, fact assessor.Fact, sent, rate string) assessor.Limit {
+	millis, err := strconv.Atoi(sent)
+	assert.NilError(t, err)
+	l := assessor.Limit{Fact: fact, SentAt: at(millis), Stated: rate != "none"}
+	if l.Stated {
+		l.PerSecond, err = strconv.ParseFloat(rate, 64)
+		assert.NilError(t, err)
+	}
+	return l
+}
+
 // play performs one step.
 func play(t *testing.T, target *assessor.Target, step string) {
 	var millis, start int
@@ -63,6 +76,14 @@
 		target.RecordCrash(fact)
 	case "success":
 		target.RecordSuccess(at(start))
+	case "limit":
+		target.RecordLimit(parseLimit(t, fact, args[1], args[2]))
+	case "limited":
+		text := "none"
+		if l := target.Limit(fact.Start); l.Stated {
+			text = strconv.FormatFloat(l.PerSecond, 'g', -1, 64)
+		}
+		assert.Equal(t, text, args[0], step)
 	case "is":
 		assert.Equal(t, describe(target.Assess(fact.Start, fact.At)), strings.Join(args, " "), step)
 	default:
