Throttler: the lowest limits let a request through every three seconds

Only a response tells that a limit has ended, and the routers' parts let one through in ten seconds; clients were told to return in 30 s.

The floor is now a request in three seconds, 1.3 in the 4 s in which a target tolerates 5 besides its limit; two holders instead of three pay for it. Clients are told to return in 10 s at most, and by a router without a part not before the first permit of the targets.

--- a/internal/request/throttler/queue.go
+++ b/internal/request/throttler/queue.go
@@ -10,7 +10,7 @@
 	// waitShare is the share of the time to its deadline that a request may wait for a permit.
 	waitShare = 0.25
 	// maxReturn bounds the time after which a refused request may return: limits change sooner.
-	maxReturn = 30 * time.Second
+	maxReturn = 10 * time.Second
 )
 
 // Supply is what a service's limited targets let through, while it has no other target.
@@ -88,7 +88,8 @@
 		}
 		return Decision{At: q.reserveReturn(expected, s.PerSecond, now)}
 	}
-	return Decision{At: q.reserveReturn(now, max(s.Total, minLimit), now)}
+	total := max(s.Total, minLimit)
+	return Decision{At: q.reserveReturn(now.Add(interval(1, total)), total, now)}
 }
 
 // reserveReturn returns when the next refused client may return, not before the given time.
--- a/internal/request/throttler/throttler.go
+++ b/internal/request/throttler/throttler.go
@@ -31,12 +31,12 @@
 )
 
 const (
-	// minLimit is the rate, in requests a second, that counts as a lower limit: a router learns
-	// only from a response that the limit has risen or ended.
-	minLimit = 0.1
+	// minLimit is the rate, in requests a second, that counts as a lower limit: only a response
+	// tells that the limit has risen or ended, and callers wait for that.
+	minLimit = 1.0 / 3
 	// minHolders is the number of routers that hold parts of the lowest limits. Each request a
 	// second more has one holder more.
-	minHolders = 3
+	minHolders = 2
 	// uncertainShare is the share of the limit that a router uses which doesn't know all others.
 	uncertainShare = 1.0 / 8
 	// freshTime is the age up to which the list of members counts as up to date: a few times as
