Retrier: one window can't hold the retries of two bursts

Traced: a request and its retry may fall into different windows. A burst just before a window, retried within it, and a second burst near its end: the window holds the retries of both and the requests of one.

--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -25,9 +25,13 @@
 const (
 	// windowSlices is the number of slices that the window is divided into.
 	windowSlices = 20
-	// usedShare is the share of the budget that may be used. The rest covers errors of
-	// counting by slices, and routers that enroll while others use their parts.
-	usedShare = 0.8
+	// ratioShare is the share of the retries for a router's own requests that may be used. A
+	// request and its retry may fall into different windows, so one window can hold the retries
+	// of two bursts and the requests of only one.
+	ratioShare = 0.5
+	// slackShare is the share of the slack that may be used. The rest covers errors of counting
+	// by slices, and routers that enroll while others use their parts.
+	slackShare = 0.8
 )
 
 // Limits bound the retries of each service over the whole fleet.
@@ -90,7 +94,7 @@
 			retries += s.retries
 		}
 	}
-	budget := usedShare * (limits.Ratio*float64(requests) + limits.share(m, now))
+	budget := ratioShare*limits.Ratio*float64(requests) + slackShare*limits.share(m, now)
 	if float64(retries+1) > budget {
 		return false
 	}
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -139,13 +139,13 @@
 	t.Helper()
 	var verb string
 	var share, seconds float64
-	var requests int
-	n, _ := fmt.Sscan(command, &verb, &share, &seconds, &requests)
+	requests, retries := 0, 2
+	n, _ := fmt.Sscan(command, &verb, &share, &seconds, &requests, &retries)
 	assert.Assert(t, n >= 2, command)
 	affected := f.routers[:max(int(share*float64(len(f.routers))), 1)]
 	switch verb {
-	case "run": // SHARE of the requests' routers, SECONDS, REQUESTS per step and router
-		f.run(time.Duration(seconds*float64(time.Second)), requests, 2)
+	case "run":
+		f.run(time.Duration(seconds*float64(time.Second)), requests, retries)
 	case "cut", "join", "freeze", "wake":
 		for _, r := range affected {
 			switch verb {
