--- a/internal/process/configurer/gateway.go
+++ b/internal/process/configurer/gateway.go
@@ -22,6 +22,8 @@
 	StockHorizon   time.Duration
 	// MaxDescriptors is 0 unless the file sets it.
 	MaxDescriptors int
+	// FirstStart is set while the whole fleet starts for the first time.
+	FirstStart bool
 }
 
 type gatewayFile struct {
@@ -42,6 +44,7 @@
 	RetrySlack     *float64 `toml:"retrySlack"`
 	StockHorizon   string   `toml:"stockHorizon"`
 	MaxDescriptors *float64 `toml:"maxDescriptors"`
+	FirstStart     bool     `toml:"firstStart"`
 }
 
 const (
@@ -86,6 +89,7 @@
 		StockHorizon:  c.duration("stockHorizon", f.StockHorizon, defaultStockHorizon, time.Second, time.Hour),
 
 		MaxDescriptors: int(c.number("maxDescriptors", f.MaxDescriptors, 0, minDescriptors, maxDescriptors)),
+		FirstStart:     f.FirstStart,
 	}
 	if f.MetricsAddress != "" {
 		s.MetricsAddress = c.address("metricsAddress", f.MetricsAddress)
--- a/internal/process/configurer/templates_test.go
+++ b/internal/process/configurer/templates_test.go
@@ -94,7 +94,9 @@
 		case []any:
 			entries = v
 		default:
-			entries = []any{v}
+			if fmt.Sprint(v) != "false" {
+				entries = []any{v}
+			}
 		}
 		var out strings.Builder
 		for i, entry := range entries {
--- a/internal/process/gateway/eras.go
+++ b/internal/process/gateway/eras.go
@@ -89,7 +89,7 @@
 // newReconciler returns the reconciler of this router's holdings.
 func (g *Gateway) newReconciler() *reconciler.Reconciler {
 	return &reconciler.Reconciler{
-		Store: g.store, Router: g.Name, Table: erasTable, Key: func(router string) string { return g.Schema.RowKey(erasTable, "", router) },
+		Store: g.store, Router: g.Name, FirstStart: g.FirstStart, Table: erasTable, Key: func(router string) string { return g.Schema.RowKey(erasTable, "", router) },
 		Holdings: g.allocator, Counter: &spender.Counter{Table: g.store, BudgetKey: g.budgetKey, HoldingKey: g.holdingKey},
 		Routers: g.listRouters, Limits: g.budgetLimits, HasRows: g.hasHoldings, Fetch: g.fetchDraws,
 		OnCounted: func(era storer.Era, router string, method reconciler.Method, tokens int64) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -109,6 +109,9 @@
 	// MaxDescriptors is how many descriptors the process may open; 0 means that clients'
 	// connections are not bounded.
 	MaxDescriptors int
+	// FirstStart is set while the whole fleet starts for the first time: a store without rows
+	// has not lost any then.
+	FirstStart bool
 	// Background functions run until the gateway has stopped.
 	Background []func(ctx context.Context)
 	Log        *slog.Logger
@@ -260,7 +263,7 @@
 	if g.MetricsListener != nil {
 		go g.serveMetrics()
 	}
-	logger.GatewayStarted.Log(g.Log, "router", g.Name, "incarnation", g.Incarnation, "domain", g.Domain)
+	logger.GatewayStarted.Log(g.Log, "router", g.Name, "incarnation", g.Incarnation, "domain", g.Domain, "firstStart", g.FirstStart)
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -80,6 +80,9 @@
 type Reconciler struct {
 	Store  storer.Store
 	Router string
+	// FirstStart is set if this process was started while the whole fleet started for the first
+	// time.
+	FirstStart bool
 	// Table is the table of eras, Key the key of a router's row in it.
 	Table    string
 	Key      func(router string) string
@@ -114,6 +117,8 @@
 	// recorded whether routers have recorded them.
 	lostFor  time.Duration
 	recorded bool
+	// first is set for the first era that this process knows.
+	first bool
 }
 
 // eraRow is a row of the table of eras.
@@ -128,7 +133,7 @@
 func (r *Reconciler) SetEra(era storer.Era, first bool, previous storer.Era) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.current = eraState{era: era, seenAt: time.Now(), lostFor: MaxCopyAge, recorded: first || previous != 0}
+	r.current = eraState{era: era, seenAt: time.Now(), lostFor: MaxCopyAge, recorded: first || previous != 0, first: first}
 	if first {
 		r.current.lostFor += MaxUnseen
 	}
@@ -257,7 +262,7 @@
 	// A router without any row has not drawn before the copy, but it may have since.
 	isNew := !hasRows && last.Era == 0 && completeness != recorder.Unreached
 	if isNew && completeness != recorder.Complete {
-		isNew = r.fleetIsNew(ctx)
+		isNew = state.first && r.fleetIsNew(ctx)
 	}
 	switch {
 	case complete || isNew:
@@ -271,9 +276,12 @@
 	}
 }
 
-// fleetIsNew reports whether the store has no rows of any router's holdings: then the fleet starts
-// for the first time, with a store that has come back from a copy before.
+// fleetIsNew reports whether the fleet starts for the first time, with a store that has come back
+// from a copy before. Otherwise a store that has no rows of any router's holdings has lost them.
 func (r *Reconciler) fleetIsNew(ctx context.Context) bool {
+	if !r.FirstStart {
+		return false
+	}
 	routers, err := r.Routers(ctx)
 	if err != nil {
 		return false
--- a/internal/trial/soaker/program.go
+++ b/internal/trial/soaker/program.go
@@ -109,6 +109,7 @@
 		line("shutdownLimit", stopLimit.String())
 		fmt.Fprintf(&b, "retrySlack = %d.0\n", p.retrySlack)
 		fmt.Fprintf(&b, "seeds = [%s]\n", quoted(p.seeds))
+		fmt.Fprintf(&b, "firstStart = %t\n", p.starts <= 1)
 	}
 	next := p.settingsPath() + ".next"
 	if err := os.WriteFile(next, []byte(b.String()), 0o600); err != nil {
