--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -17,6 +17,10 @@
 	// limitToldTime is how long a router tells the others that a target's limit has changed: many
 	// times as long as all routers take to hear of it from each other.
 	limitToldTime = 10 * time.Second
+	// A limit that holds on is told again each limitNewsInterval, for limitNewsTime, so that
+	// routers without a part of it know that it does.
+	limitNewsInterval = 3 * time.Second
+	limitNewsTime     = time.Second
 	// minPermitWait is the least time between two attempts of a request to get a permit.
 	minPermitWait = 5 * time.Millisecond
 )
@@ -27,8 +31,10 @@
 	limited bool
 	// returning is set if the limit has ended and this router doesn't use the target yet.
 	returning bool
-	limit     float64
-	part      throttler.Part
+	// probe is set if the next request is to show whether the limit holds.
+	probe bool
+	limit float64
+	part  throttler.Part
 	// nextAt is when the router may send the next request; zero if it may send none.
 	nextAt time.Time
 }
@@ -45,6 +51,10 @@
 	switch {
 	case l.Stated:
 		th := throttle{limited: true, limit: l.PerSecond, part: throttler.PartOf(l.PerSecond, sharer.Hash(e.ID), m, now)}
+		if th.part.PerSecond == 0 {
+			th.nextAt, th.probe = throttler.ProbeAt(sharer.Hash(e.ID), m, maxTime(l.At, s.probedAt))
+			return th
+		}
 		th.nextAt, _ = s.permits.Next(th.part, now)
 		return th
 	case !l.At.IsZero():
@@ -69,7 +79,14 @@
 // takePermit takes a permit for a request, and reports whether it may be sent; t.mu must be held.
 func (t *targetTracker) takePermit(s *targetState, e registrar.Entry, m sharer.Membership, now time.Time) (limited, ok bool) {
 	th := t.throttle(e, m, now)
-	if !th.limited || th.returning {
+	switch {
+	case !th.limited || th.returning:
+		return false, true
+	case th.probe:
+		if !th.open(now) {
+			return false, false
+		}
+		s.probedAt = now
 		return false, true
 	}
 	return true, s.permits.Take(th.part, now)
--- a/internal/process/gateway/targetfacts.go
+++ b/internal/process/gateway/targetfacts.go
@@ -98,14 +98,19 @@
 	s, f := t.fact(target, now)
 	limit := assessor.Limit{Fact: f, SentAt: sentAt, Stated: l.Stated, PerSecond: l.PerSecond}
 	changed := s.RecordLimit(limit)
-	t.markLimitChange(s, changed, now)
+	t.tellLimit(s, target.StartedAt, changed, now)
 	return limit, changed
 }
 
-// markLimitChange has peers told of a changed limit; t.mu must be held.
-func (t *targetTracker) markLimitChange(s *targetState, changed bool, now time.Time) {
-	if changed {
-		s.limitChangedAt, t.urgentChange = now, true
+// tellLimit has peers told of a limit that has changed, or of which nothing has been told for a
+// while; t.mu must be held.
+func (t *targetTracker) tellLimit(s *targetState, start time.Time, changed bool, now time.Time) {
+	l := s.Limit(start)
+	switch {
+	case changed:
+		s.limitToldAt, s.tellLimitUntil, t.urgentChange = l.At, now.Add(limitToldTime), true
+	case l.Stated && l.At.Sub(s.limitToldAt) >= limitNewsInterval:
+		s.limitToldAt, s.tellLimitUntil = l.At, maxTime(s.tellLimitUntil, now.Add(limitNewsTime))
 	}
 }
 
@@ -153,7 +158,7 @@
 	var idle []assessor.Report
 	for id, s := range t.targets {
 		r := s.Report(id, s.start, now)
-		if !first && now.Sub(s.limitChangedAt) > limitToldTime {
+		if !first && now.After(s.tellLimitUntil) {
 			r.Limit = assessor.LimitReport{}
 		}
 		switch {
@@ -195,7 +200,9 @@
 			s.sawStart(r.Start)
 			news.limits[r.Target] = s.Limit(r.Start)
 		}
-		t.markLimitChange(s, limitChanged, now)
+		if r.Limit.Known {
+			t.tellLimit(s, r.Start, limitChanged, now)
+		}
 	}
 	t.peerLoads[name] = p
 	return news
--- a/internal/process/gateway/tracker.go
+++ b/internal/process/gateway/tracker.go
@@ -40,9 +40,14 @@
 	// start is the newest start of the target that this router knows.
 	start     time.Time
 	abandoned abandonedRequests
-	// permits are this router's for the target's limit, which changed last at limitChangedAt.
-	permits        throttler.Bucket
-	limitChangedAt time.Time
+	// permits are this router's for the target's limit. probedAt is when it has last sent a request
+	// without one to learn whether the limit holds.
+	permits  throttler.Bucket
+	probedAt time.Time
+	// limitToldAt is the time of the newest word on the limit that peers were told, tellLimitUntil
+	// until when they are told of it.
+	limitToldAt    time.Time
+	tellLimitUntil time.Time
 	prefixes       prefixCache
 	// secondsPerToken is the prefill time per token: a moving average of the time to
 	// the first token, divided by the tokens to prefill until then. samples counts the
--- a/internal/request/throttler/throttler.go
+++ b/internal/request/throttler/throttler.go
@@ -3,7 +3,7 @@
 //
 // The limit is often smaller than the number of routers, which can't ask each other before each
 // request. A few routers, chosen by rendezvous hashing, hold equal parts of a target's limit
-// (PartOf); the others send it nothing. Each holder has a Bucket of few permits, mostly one, which
+// (PartOf); the others send it nothing unless they hear nothing of it for long (ProbeAt). Each holder has a Bucket of few permits, mostly one, which
 // its part refills. So in a window of length t, k holders of a limit l send at most k + l*t requests
 // if no bucket holds more than one, also if all of them have waited for long: the number of holders
 // keeps the sum within what a target tolerates. It handles these load patterns:
@@ -33,10 +33,14 @@
 const (
 	// minLimit is the rate, in requests a second, that counts as a lower limit: only a response
 	// tells that the limit has risen or ended, and callers wait for that.
-	minLimit = 1.0 / 3
-	// minHolders is the number of routers that hold parts of the lowest limits. Each request a
-	// second more has one holder more.
+	minLimit = 0.4
+	// minHolders is the number of routers that hold parts of a limit of one request a second;
+	// each request a second more has one holder more. A lower limit has a single one, so that
+	// its requests don't come in pairs with a long gap after them.
 	minHolders = 2
+	// probeAfter is the time without news of a limit after which the routers that hold no part of it
+	// send a request, one after the other: the holders may be gone.
+	probeAfter = 5 * time.Second
 	// uncertainShare is the share of the limit that a router uses which doesn't know all others.
 	uncertainShare = 1.0 / 8
 	// freshTime is the age up to which the list of members counts as up to date: a few times as
@@ -69,16 +73,31 @@
 		}
 		return Part{PerSecond: limit * uncertainShare}
 	}
-	holders := m.Count()
-	if limit < float64(holders) {
-		holders = min(holders, minHolders+int(limit))
-	}
+	holders := holdersOf(limit, m.Count())
 	if rank >= holders {
 		return Part{}
 	}
 	return Part{PerSecond: limit / float64(holders), Initial: (float64(rank) + 0.5) / float64(holders)}
 }
 
+// holdersOf returns how many of the routers hold parts of a limit.
+func holdersOf(limit float64, routers int) int {
+	if limit < 1 {
+		return 1
+	}
+	return int(min(minHolders+limit, float64(routers)))
+}
+
+// ProbeAt returns when a router without a part of a limit may send a request to learn whether the
+// limit holds, if it has had no news of it since heardAt. false means that the router needs none.
+func ProbeAt(key uint64, m sharer.Membership, heardAt time.Time) (time.Time, bool) {
+	rank := m.Rank(key)
+	if rank == 0 || m.ReadAt.IsZero() {
+		return time.Time{}, false
+	}
+	return heardAt.Add(time.Duration(rank) * probeAfter), true
+}
+
 // capacity returns the most permits that a bucket holds.
 func (p Part) capacity() float64 {
 	return max(p.PerSecond*burstTime.Seconds(), 1)
--- a/internal/request/throttler/throttler_test.go
+++ b/internal/request/throttler/throttler_test.go
@@ -22,6 +22,10 @@
 	window = 4 * time.Second
 	// hiddenTime is how long other routers don't read the row of a hidden one.
 	hiddenTime = time.Second
+	// partInterval is how often a router works out its part.
+	partInterval = 500 * time.Millisecond
+	// newsDelay is how long news take to reach all routers, with the interval between them.
+	newsDelay = 3 * time.Second
 )
 
 var target = sharer.Hash("i-1")
@@ -33,6 +37,14 @@
 	up         bool
 	reads      bool // it reaches the store
 	frozen     bool
+	apart      bool // it is cut from the routers for which this is not set
+	// heardAt is when it has last had news of the limit.
+	heardAt time.Time
+	// part, probeAt and probes were worked out at partAt.
+	part    throttler.Part
+	probeAt time.Time
+	probes  bool
+	partAt  time.Time
 }
 
 // row is a router's row in the list of members.
@@ -48,11 +60,12 @@
 	routers []*router
 	rows    []row
 	visible []uint64
-	sent    []int // by step
+	news    map[bool][]time.Time // when requests were sent, on each side of a cut
+	sent    []int                // by step
 }
 
 func newFleet(routers int, limit float64) *fleet {
-	f := &fleet{limit: limit, now: time.Now()}
+	f := &fleet{limit: limit, now: time.Now(), news: make(map[bool][]time.Time)}
 	f.add(routers, 0)
 	return f
 }
@@ -70,6 +83,7 @@
 // start starts a router anew; it enrolls with its next step if it reaches the store.
 func (f *fleet) start(r *router) {
 	r.membership, r.bucket, r.up = sharer.Membership{Self: r.membership.Self}, &throttler.Bucket{}, true
+	r.heardAt, r.partAt = f.now, time.Time{}
 }
 
 // updateVisible lists the rows that all routers can read.
@@ -108,6 +122,7 @@
 	for range d / step {
 		f.now = f.now.Add(step)
 		f.updateVisible()
+		f.tellNews()
 		sent := 0
 		for _, r := range f.routers {
 			if !r.up || r.frozen {
@@ -116,14 +131,49 @@
 			if r.reads && (len(r.membership.Routers) < len(f.visible) || f.now.Sub(r.membership.ReadAt) > time.Second) {
 				f.read(r)
 			}
-			for r.bucket.Take(throttler.PartOf(f.limit, target, r.membership, f.now), f.now) {
-				sent++
-			}
+			sent += f.send(r)
 		}
 		f.sent = append(f.sent, sent)
 	}
 }
 
+// send lets a router send what it may. Its responses bring news of the limit.
+func (f *fleet) send(r *router) (sent int) {
+	if f.now.Sub(r.partAt) >= partInterval {
+		r.part, r.partAt = throttler.PartOf(f.limit, target, r.membership, f.now), f.now
+		r.probeAt, r.probes = throttler.ProbeAt(target, r.membership, r.heardAt)
+	}
+	for r.bucket.Take(r.part, f.now) {
+		sent++
+	}
+	if sent == 0 && r.probes && f.now.After(r.probeAt) {
+		r.probeAt, r.probes = throttler.ProbeAt(target, r.membership, r.heardAt)
+		if r.probes && f.now.After(r.probeAt) {
+			sent++
+		}
+	}
+	if sent > 0 {
+		r.heardAt = f.now
+		f.news[r.apart] = append(f.news[r.apart], f.now)
+	}
+	return sent
+}
+
+// tellNews lets routers hear from each other what was sent newsDelay ago.
+func (f *fleet) tellNews() {
+	for apart, news := range f.news {
+		for len(news) > 0 && f.now.Sub(news[0]) >= newsDelay {
+			for _, r := range f.routers {
+				if r.apart == apart && r.heardAt.Before(news[0]) {
+					r.heardAt = news[0]
+				}
+			}
+			news = news[1:]
+		}
+		f.news[apart] = news
+	}
+}
+
 // worst returns the most requests within a window.
 func (f *fleet) worst() (worst int) {
 	for end := range f.sent {
@@ -170,6 +220,8 @@
 			r.up = false
 		case "cut", "join":
 			r.reads = verb == "join"
+		case "part", "unite":
+			r.apart = verb == "part"
 		case "freeze", "wake":
 			r.frozen = verb == "freeze"
 		default:
