--- a/internal/process/spender/allocator.go
+++ b/internal/process/spender/allocator.go
@@ -38,6 +38,8 @@
 	intervalFactor = 8
 	maxInterval    = 3 * time.Second
 	maxPause       = 500 * time.Millisecond
+	// briefOutage is how long the store may have failed while requests still wait for tokens.
+	briefOutage = 500 * time.Millisecond
 	// failurePause is the least pause after a flush that failed. A refusal may take no time, and
 	// each request that waits for tokens requests a flush.
 	failurePause = 50 * time.Millisecond
@@ -112,7 +114,9 @@
 	// flushing lets one flush run at a time, so that no plan is sent twice at once: Close
 	// may be called while the last flush of Run is in progress.
 	flushing chan struct{}
-	failing  bool
+	// failing is set since failingSince if the last flush failed.
+	failing      bool
+	failingSince time.Time
 	// batchSize is how many budgets one commit may change; it falls with conflicts.
 	batchSize int
 	// inheritedAll is set once all holdings of earlier incarnations are loaded.
@@ -307,14 +311,14 @@
 	acct.limit, acct.limitKnown, acct.changed = limit, true, true
 }
 
-// Wait returns a channel that is closed after the next flush or heartbeat, and whether
-// commits and heartbeats currently succeed.
+// Wait returns a channel that is closed after the next flush or heartbeat, and whether commits and
+// heartbeats succeed, or have failed so briefly that the next ones may.
 func (a *Allocator) Wait() (done <-chan struct{}, healthy bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ch := make(chan struct{})
 	a.waiters = append(a.waiters, ch)
-	return ch, !a.failing && !a.Heartbeats.Failing()
+	return ch, (!a.failing || time.Since(a.failingSince) < briefOutage) && a.Heartbeats.FailingFor() < briefOutage
 }
 
 // Balance is the state of an account for log lines, in tokens.
--- a/internal/process/spender/heartbeater.go
+++ b/internal/process/spender/heartbeater.go
@@ -85,6 +85,7 @@
 	wake                  chan struct{}
 	predecessorRead       chan struct{}
 	failing               bool
+	failingSince          time.Time
 }
 
 // wireHeartbeat is the encoding of a heartbeat row.
@@ -167,11 +168,14 @@
 	h.rebasedEra = era
 }
 
-// Failing reports whether the last heartbeat failed.
-func (h *Heartbeater) Failing() bool {
+// FailingFor returns for how long heartbeats have failed, or 0 if the last one did not.
+func (h *Heartbeater) FailingFor() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failing
+	if !h.failing {
+		return 0
+	}
+	return time.Since(h.failingSince)
 }
 
 // Wake requests a heartbeat without waiting for the interval to pass.
@@ -347,6 +351,9 @@
 	h.mu.Lock()
 	wasFailing := h.failing
 	h.failing = err != nil && !conflict
+	if h.failing && !wasFailing {
+		h.failingSince = time.Now()
+	}
 	failing, sinceHeartbeat := h.failing, time.Since(h.builtAt)
 	h.mu.Unlock()
 	switch {
--- a/internal/process/spender/holdingcommit.go
+++ b/internal/process/spender/holdingcommit.go
@@ -54,7 +54,11 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	wasFailing := a.failing
 	a.failing = unrecorded || (err != nil && !errors.Is(err, storer.ErrConflict) && !errors.Is(err, storer.ErrEraChanged))
+	if a.failing && !wasFailing {
+		a.failingSince = time.Now()
+	}
 	a.wakeWaiters()
 	return clean
 }
