Limits: targets whose limit has ended serve at once where there are no others

Read as a newcomer: after the end of a limit the routers return to a target within two seconds, one after the other, also if all targets of a service had a limit; their requests were refused meanwhile. They use such targets now if there are no others. A request no longer waits for permits of targets that it has tried. Routers are ordered by xxhash, so that the mixing function stands once.

--- a/internal/process/gateway/limits.go
+++ b/internal/process/gateway/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"time"
 
@@ -58,10 +57,8 @@
 		th.nextAt, _ = s.permits.Next(th.part, now)
 		return th
 	case !l.At.IsZero():
-		returnAt := l.At.Add(throttler.ReturnDelay(sharer.Hash(e.ID), m))
-		inf := math.Inf(1)
-		returning := now.Before(returnAt)
-		return throttle{limited: returning, returning: returning, limit: inf, part: throttler.Part{PerSecond: inf}, nextAt: returnAt}
+		returning := now.Before(l.At.Add(throttler.ReturnDelay(sharer.Hash(e.ID), m)))
+		return throttle{limited: returning, returning: returning}
 	}
 	return throttle{}
 }
--- a/internal/process/gateway/targetfacts.go
+++ b/internal/process/gateway/targetfacts.go
@@ -22,13 +22,15 @@
 }
 
 // open returns the targets that take the request from this router, and counts the others. The
-// permits of limited targets go to the requests that wait for them first.
+// permits of limited targets go to the requests that wait for them first. Targets whose limit has
+// just ended take requests if there are no others.
 func (t *targetTracker) open(q *request, entries []registrar.Entry, now time.Time) (open []registrar.Entry, closed closedTargets) {
 	m := t.membership()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ahead := t.service(q.service.Name).queue.Ahead(q.waiter, q.priority)
 	open = make([]registrar.Entry, 0, len(entries))
+	var returning []registrar.Entry
 	for _, e := range entries {
 		switch a := t.target(e.ID).Assess(e.StartedAt, now); a.State {
 		case assessor.Leaving:
@@ -43,6 +45,9 @@
 			switch {
 			case !th.limited:
 				open = append(open, e)
+			case q.triedRuns[runOf(e)]: // a permit would not help
+			case th.returning:
+				returning = append(returning, e)
 			case ahead == 0 && th.open(now):
 				open = append(open, e)
 			default:
@@ -53,6 +58,9 @@
 			}
 		}
 	}
+	if len(open) == 0 {
+		open = returning
+	}
 	return open, closed
 }
 
--- a/internal/request/sharer/sharer.go
+++ b/internal/request/sharer/sharer.go
@@ -19,6 +19,7 @@
 package sharer
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,20 +59,19 @@
 // for a key, from 0. Routers that know of the same others agree on it; one that knows of fewer
 // ranks itself no lower than others do.
 func (m Membership) Rank(key uint64) int {
-	own, rank := mix(m.Self^key), 0
+	own, rank := score(m.Self, key), 0
 	for _, r := range m.Routers {
-		if r != m.Self && mix(r^key) < own {
+		if r != m.Self && score(r, key) < own {
 			rank++
 		}
 	}
 	return rank
 }
 
-// mix is the SplitMix64 finaliser.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+// score orders the routers for a key.
+func score(router, key uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], router)
+	binary.LittleEndian.PutUint64(b[8:], key)
+	return xxhash.Sum64(b[:])
 }
