--- a/internal/request/throttler/throttler.go
+++ b/internal/request/throttler/throttler.go
@@ -3,10 +3,11 @@
 //
 // The limit is often smaller than the number of routers, which can't ask each other before each
 // request. A few routers, chosen by rendezvous hashing, hold equal parts of a target's limit
-// (PartOf); the others send it nothing unless they hear nothing of it for long (ProbeAt). Each holder has a Bucket of few permits, mostly one, which
-// its part refills. So in a window of length t, k holders of a limit l send at most k + l*t requests
-// if no bucket holds more than one, also if all of them have waited for long: the number of holders
-// keeps the sum within what a target tolerates. It handles these load patterns:
+// (PartOf); the others send it nothing unless they hear nothing of it for long (ProbeAt). Each
+// holder has a Bucket of few permits, mostly one, which its part refills. So in a window of length
+// t, k holders of a limit l send at most k + l*t requests if no bucket holds more than one, also if
+// all of them have waited for long: the number of holders keeps the sum within what a target
+// tolerates. It handles these load patterns:
 //
 //   - Targets that take fewer requests a second than there are routers. An equal part for each
 //     router would let all of them send a request at the same moment.
