--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/egretroute/egretroute/platform/platformtest"
@@ -21,8 +20,8 @@
 	// program is the program as the deploy file builds it.
 	program = "target/egretroute"
 	secret  = "egretroute-fleet-link"
-	// maxDescriptors is limits.max-fds of an edge machine of the site.
-	maxDescriptors = 4100
+	// maxDescriptors is the least limits.max-fds of the site's edge machines.
+	maxDescriptors = 4200
 	// contactTime is contact-ms.
 	contactTime  = 3 * time.Second
 	readyTimeout = 10 * time.Second
@@ -104,7 +103,7 @@
 shutdownLimit = "8s"
 retryRatio = 0.2
 retryWindow = "10s"
-retrySlack = 58
+retrySlack = 80
 firstStart = true
 `, name, zone, p.client, p.ready, p.fleet, store, strings.Join(quoted, ","), secret, maxDescriptors)
 	return p, d.start(p)
@@ -117,6 +116,28 @@
 	return p, d.start(p)
 }
 
+// startFleet starts gateways and three companions, and waits until they are ready.
+func (d *deployment) startFleet(gateways int) ([]*process, error) {
+	var seeds []string
+	for range gateways {
+		seeds = append(seeds, platformtest.NewAddress())
+	}
+	var started []*process
+	for i, address := range seeds {
+		g, err := d.gateway(fmt.Sprintf("edge-%d", i), "a", d.store.Address(), seeds, address)
+		if err != nil {
+			return nil, err
+		}
+		started = append(started, g)
+	}
+	for i := range 3 {
+		if _, err := d.companion(fmt.Sprintf("side-%d", i), "a", d.store.Address()); err != nil {
+			return nil, err
+		}
+	}
+	return started, waitReady(started...)
+}
+
 // start starts a process, again if it was started before.
 func (d *deployment) start(p *process) error {
 	path := filepath.Join(d.dir, p.name+".toml")
@@ -148,22 +169,6 @@
 	return nil
 }
 
-// hasEnded reports whether a process has ended.
-func (p *process) hasEnded() bool {
-	select {
-	case <-p.ended:
-		return true
-	default:
-		return false
-	}
-}
-
-// signal sends a signal to a process.
-func (d *deployment) signal(p *process, s syscall.Signal) {
-	d.logf("%v to %s", s, p.name)
-	_ = p.command.Process.Signal(s) // it may have ended
-}
-
 // descriptors returns the number of open descriptors of a process, for the record only.
 func (p *process) descriptors() int {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -13,15 +13,16 @@
 
 const (
 	// readyReplicas is the number of replicas of the service that are ready at any time.
-	readyReplicas = 6
-	// releaseAtOnce replicas are replaced each waveGap: x = 2 and gap_s = 1 of the site's release.
-	releaseAtOnce = 2
+	readyReplicas = 4
+	// releaseAtOnce replicas are replaced each releaseGap; the site's release has x = 5 and gap_s = 1.
+	releaseAtOnce = 3
+	releaseGap    = time.Second
 	// checkAfter is when new clients come; the releases go on.
-	checkAfter = 76 * time.Second
-	// keptClients send a request each waveGap, all at the same moment, over one kept connection each.
-	keptClients = 240
-	waveGap     = time.Second
-	workTime    = 200 * time.Millisecond
+	checkAfter = 74 * time.Second
+	// keptClients send a request each sendGap over one kept connection each, some 90 a second in all.
+	keptClients = 50
+	sendGap     = 500 * time.Millisecond
+	workTime    = 60 * time.Millisecond
 	// newClients open a connection each, newGap apart.
 	newClients  = 60
 	newGap      = 100 * time.Millisecond
@@ -42,25 +43,18 @@
 			return false, err
 		}
 	}
-	fleet := platformtest.NewAddress()
-	g, err := d.gateway("edge-a-1", "a", d.store.Address(), []string{fleet}, fleet)
+	gateways, err := d.startFleet(1)
 	if err != nil {
 		return false, err
 	}
-	for i := range 3 {
-		if _, err := d.companion(fmt.Sprintf("side-%d", i), "a", d.store.Address()); err != nil {
-			return false, err
-		}
-	}
-	if err := waitReady(g); err != nil {
-		return false, err
-	}
+	g := gateways[0]
 	seen := &observations{}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
 	for i := range keptClients {
 		wg.Go(func() { keepSending(ctx, g, fmt.Sprintf("kept-%d", i), seen) })
+		time.Sleep(sendGap / keptClients) // so that the clients send one after the other
 	}
 	wg.Go(func() {
 		for ctx.Err() == nil {
@@ -81,10 +75,10 @@
 	return unanswered >= minUnanswered && 2*unanswered > late, releaseErr
 }
 
-// releaseAgainAndAgain replaces releaseAtOnce replicas between any two waves of requests until ctx ends.
+// releaseAgainAndAgain replaces releaseAtOnce replicas each releaseGap until ctx ends.
 func releaseAgainAndAgain(ctx context.Context, pool *replicas) error {
 	for {
-		sleep(ctx, time.Until(nextWave())+waveGap/2)
+		sleep(ctx, releaseGap)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -94,14 +88,14 @@
 	}
 }
 
-// keepSending sends requests that may be repeated, one after the other, on one kept connection.
+// keepSending sends requests that may not be repeated, one after the other, on one kept connection.
 func keepSending(ctx context.Context, g *process, name string, seen *observations) {
 	client := newClient()
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		sleep(ctx, time.Until(nextWave()))
+		sleep(ctx, sendGap)
 		r := platformtest.Send(context.Background(), client, g.client, platformtest.Request{
-			ID: fmt.Sprintf("%s-%d", name, n), Key: "beta-key", Path: "/checks/a", Timeout: routeTimeout,
+			ID: fmt.Sprintf("%s-%d", name, n), Key: "beta-key", Path: "/orders/a", Timeout: routeTimeout,
 		})
 		seen.add(r.Status)
 		if s, err := strconv.ParseFloat(r.RetryAfter, 64); err == nil {
@@ -110,11 +104,6 @@
 	}
 }
 
-// nextWave returns when the clients send next.
-func nextWave() time.Time {
-	return time.Now().Truncate(waveGap).Add(waveGap)
-}
-
 // sendOnNewConnections lets new clients send one request each, which may not be repeated. It returns how many
 // had no answer at the route's timeout, and how many none answerSlack later.
 func sendOnNewConnections(d *deployment, g *process) (late, unanswered int) {
@@ -177,7 +166,7 @@
 func (o *observations) summary(since time.Duration) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	text := fmt.Sprintf("answers on kept connections in %v: %v", since, o.statuses)
+	text := fmt.Sprintf("answers in %v by status: %v", since, o.statuses)
 	o.statuses = nil
 	return text
 }
