Review, case 2: output that is not streamed costs nothing

Tried: a tenant sends 7.5 times its usual for 6.5 s over a route of type idempotent with X-Token-Count.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"descriptors": playDescriptors,
+	"tokens":      playTokens,
 }
 
 func main() {
