--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"descriptors": playDescriptors,
 	"tokens":      playTokens,
+	"entries":     playEntries,
 }
 
 func main() {
