--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	"descriptors": playDescriptors,
 	"tokens":      playTokens,
 	"entries":     playEntries,
+	"tenants":     playTenants,
 }
 
 func main() {
