--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"tokens":      playTokens,
 	"entries":     playEntries,
 	"tenants":     playTenants,
+	"unframed":    playUnframed,
 }
 
 func main() {
@@ -38,7 +39,13 @@
 	name := flag.String("case", "", "name of the case")
 	record := flag.String("record", "record.txt", "file to which the record is written")
 	trouble := flag.Bool("trouble", true, "inject the disruption")
+	serve := flag.String("serve", "", "address at which to run a replica of the case unframed instead of a case")
+	id := flag.String("id", "", "id of that replica")
 	flag.Parse()
+	if *serve != "" {
+		fmt.Fprintln(os.Stderr, serveUnframed(*id, *serve))
+		return exitNotRun
+	}
 	play, ok := cases[*name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", *name)
