--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -23,7 +23,7 @@
 	// maxDescriptors is the least limits.max-fds of the site's edge machines.
 	maxDescriptors = 4200
 	// contactTime is contact-ms.
-	contactTime  = 3 * time.Second
+	contactTime  = 4 * time.Second
 	readyTimeout = 10 * time.Second
 )
 
--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// entryClients send a request each entryGap.
-	entryClients = 12
-	entryGap     = 100 * time.Millisecond
+	// entryClients send a request each entryGap, one after the other.
+	entryClients = 24
+	entryGap     = 160 * time.Millisecond
 	// entryReplicas is the number of replicas of the service; one of them leaves at leaveAt.
 	entryReplicas = 3
 	leaveAt       = 6 * time.Second
-	entryTime     = 14 * time.Second
+	entryTime     = 15 * time.Second
 	// drainMargin is how much later than drain-ms a request must reach the replica to count.
 	drainMargin = 250 * time.Millisecond
 )
@@ -47,6 +47,7 @@
 		wg.Go(func() {
 			client := newClient()
 			defer client.CloseIdleConnections()
+			sleep(ctx, time.Duration(i)*entryGap/entryClients)
 			for n := 0; ctx.Err() == nil; n++ {
 				id := fmt.Sprintf("e%d-%d", i, n)
 				r := platformtest.Send(context.Background(), client, gateways[i%len(gateways)].client, platformtest.Request{
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,7 +27,6 @@
 	"descriptors": playDescriptors,
 	"tokens":      playTokens,
 	"entries":     playEntries,
-	"tenants":     playTenants,
 	"unframed":    playUnframed,
 }
 
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -16,7 +16,7 @@
 
 const (
 	// drainTime is drain-ms, and lingerTime how much longer a replica serves that drains.
-	drainTime  = 2 * time.Second
+	drainTime  = 3 * time.Second
 	lingerTime = 1500 * time.Millisecond
 	// heartbeat is heartbeat-ms.
 	heartbeat = 1200 * time.Millisecond
