Review, case 5: a request that hangs its replicas is never known as the cause

Tried: one request, sent 14 times, that lets each replica go dark for 2.5 s before it is killed, ports open.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"tokens":      playTokens,
 	"entries":     playEntries,
 	"unframed":    playUnframed,
+	"hanging":     playHanging,
 }
 
 func main() {
