--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,6 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the entry is removed
 # instead of replaced.
 cd "$(dirname "$0")/../.." || exit 2
+[ -x target/egretroute ] && [ -x target/review-standin ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 exec target/review-standin -case entries -record review/3/record.txt -trouble=$trouble
