--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -50,6 +50,8 @@
 
 	mu        sync.Mutex // guards all below
 	processes []*process
+	// onStop are called by stop.
+	onStop []func()
 }
 
 func newDeployment(record string) (*deployment, error) {
@@ -73,8 +75,11 @@
 // stop ends all processes that were started.
 func (d *deployment) stop() {
 	d.mu.Lock()
-	processes := d.processes
+	processes, onStop := d.processes, d.onStop
 	d.mu.Unlock()
+	for _, f := range onStop {
+		f()
+	}
 	for _, p := range processes {
 		_ = p.command.Process.Kill() // it may have ended
 		<-p.ended
--- a/review/standin/tokens.go
+++ b/review/standin/tokens.go
@@ -60,6 +60,7 @@
 		wg.Go(func() {
 			r := platformtest.Send(context.Background(), client, g.client, platformtest.Request{
 				ID: fmt.Sprintf("t%d", n), Key: "alpha-key", Path: "/summaries/a", PromptTokens: promptTokens, OutputTokens: outputTokens, Timeout: 3 * time.Second,
+				Parts: []string{"a1", fmt.Sprintf("b%04x", n)},
 			})
 			seen.add(r.Status)
 		})
