--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -203,6 +203,13 @@
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 12 * time.Second}}
 }
 
+// honour waits as long as a refusal's Retry-After says.
+func honour(ctx context.Context, retryAfter string) {
+	if s, err := strconv.ParseFloat(retryAfter, 64); err == nil {
+		sleep(ctx, time.Duration(s*float64(time.Second)))
+	}
+}
+
 // sleep waits for a time or until ctx ends.
 func sleep(ctx context.Context, t time.Duration) {
 	select {
