Review: a withdrawn key stays in use after the store comes back from a copy

Tried: the store silent for 2.5 s and back from a copy 3.2 s old, a key withdrawn 200 ms after its return, requests with that key 9 s later.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -47,6 +47,10 @@
 	store  *platformtest.Store
 	record *os.File
 	began  time.Time
+	// bootstrapped is set once the whole system has started for the first time.
+	bootstrapped bool
+	// faultOnly is set if only the final fault is injected.
+	faultOnly bool
 
 	mu        sync.Mutex // guards all below
 	processes []*process
@@ -146,6 +150,9 @@
 // start starts a process, again if it was started before.
 func (d *deployment) start(p *process) error {
 	path := filepath.Join(d.dir, p.name+".toml")
+	if d.bootstrapped {
+		p.settings = strings.Replace(p.settings, "firstStart = true\n", "", 1)
+	}
 	if err := os.WriteFile(path, []byte(p.settings), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,10 @@
 	"tokens":      playTokens,
 	"unframed":    playUnframed,
 	"hanging":     playHanging,
+	"added":       playAdded,
+	"drill":       playDrill,
+	"stale":       playStale,
+	"replaced":    playReplaced,
 }
 
 func main() {
@@ -38,6 +42,7 @@
 	name := flag.String("case", "", "name of the case")
 	record := flag.String("record", "record.txt", "file to which the record is written")
 	trouble := flag.Bool("trouble", true, "inject the disruption")
+	faultOnly := flag.Bool("fault-only", false, "of the disruptions, inject only the final fault, if the case has one")
 	serve := flag.String("serve", "", "address at which to run a replica of the case unframed instead of a case")
 	id := flag.String("id", "", "id of that replica")
 	flag.Parse()
@@ -55,6 +60,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	d.faultOnly = *faultOnly
 	defer d.stop()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
