--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: the request does no harm.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no machine is removed, the store stays and nothing is killed.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/egretroute ] && [ -x target/review-standin ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-standin -case hanging -record review/4/record.txt -trouble=$trouble
+exec target/review-standin -case drill -record review/4/record.txt -trouble=$trouble
