--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -36,6 +36,7 @@
 )
 
 func playDescriptors(d *deployment, trouble bool) (bool, error) {
+	d.site = hpousrEgretGrown
 	platformtest.Configuration{Version: 1, AlphaBudget: 1_000_000_000}.Put(d.store)
 	pool := &replicas{store: d.store, service: "desk", work: workTime}
 	defer pool.exitAll()
