--- a/review/standin/budget.go
+++ b/review/standin/budget.go
@@ -245,6 +245,16 @@
 	}
 }
 
+// logRuns logs what the replicas ran.
+func (f *fleet) logRuns() {
+	runs := 0
+	for _, t := range f.targets {
+		runs += len(t.Runs())
+	}
+	most := runs * (queryPrompt + queryEvents*tokensPerEvent)
+	f.logf("the replicas ran %d requests, which can have cost %d tokens at most, of %d prepaid", runs, most, tenantPrepaid)
+}
+
 // share returns the share of the requests sent in a time that were served.
 func (f *fleet) share(from, to time.Time) float64 {
 	f.mu.Lock()
@@ -316,6 +326,7 @@
 	f.report()
 	before := f.share(f.began, fault)
 	after := f.share(back.Add(recoveryTime), end)
+	f.logRuns()
 	f.logf("share served before the final fault %.3f, later than recovery-s after it %.3f", before, after)
 	return before >= 0.25 && after < 0.25, nil
 }
