Feeds: a position carries its era, so that no change is missed after a copy

Cause: the position of a feed was a bare version. storer.Guard compared a reply's era with the era known when the call was sent. If a heartbeat told the new era before the feed called again, the feed went on in the new era from its position in the old one and skipped all changes up to it.

Ruled out: dropped replies (no line of a stale reply), documents that are not newer (the change is in force when the store is not silent).

Mend: storer.Position has era and version; the guard sends no Watch with a position of another era and refuses a reply of another one. Same cause on related paths: receipts and conflicts of heartbeats that arrive after a newer era is known, versions of the archiver's and the enroller's rows.

--- a/internal/connection/relayer/codec.go
+++ b/internal/connection/relayer/codec.go
@@ -46,9 +46,9 @@
 }
 
 func decodeRowBatch(r *framer.Relayed) (storer.RowBatch, error) {
-	batch := storer.RowBatch{NextVersion: r.Version, Era: storer.Era(r.Era)}
+	batch := storer.RowBatch{Next: storer.Position{Era: storer.Era(r.Era), Version: r.Version}}
 	for _, row := range r.Rows {
-		batch.Rows = append(batch.Rows, decodeRow(row, batch.Era))
+		batch.Rows = append(batch.Rows, decodeRow(row, batch.Next.Era))
 	}
 	return batch, decodeError(r)
 }
--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -73,7 +73,7 @@
 		defer cancel()
 		batch, err := s.watch(ctx, m, wait)
 		reply := encodeError(err)
-		reply.Version, reply.Era = batch.NextVersion, uint64(batch.Era)
+		reply.Version, reply.Era = batch.Next.Version, uint64(batch.Next.Era)
 		for _, r := range batch.Rows {
 			reply.Rows = append(reply.Rows, encodeRow(r))
 		}
@@ -88,5 +88,5 @@
 	if m.List {
 		return s.Store.List(ctx, m.Table)
 	}
-	return s.Store.Watch(ctx, m.Table, m.After, wait)
+	return s.Store.Watch(ctx, m.Table, storer.Position{Version: m.After}, wait) // the caller compares the eras
 }
--- a/internal/connection/relayer/relayer_test.go
+++ b/internal/connection/relayer/relayer_test.go
@@ -43,11 +43,11 @@
 		return storer.RowBatch{}, errors.Wrap(storer.ErrUnavailable, "cut")
 	}
 	rows, err := b.Scan(ctx, table, "", 100)
-	return storer.RowBatch{Rows: rows, NextVersion: b.Commits()}, err
+	return storer.RowBatch{Rows: rows, Next: storer.Position{Version: b.Commits()}}, err
 }
 
 // Watch implements storer.Watcher.
-func (b backend) Watch(_ context.Context, _ string, _ uint64, _ time.Duration) (storer.RowBatch, error) {
+func (b backend) Watch(_ context.Context, _ string, _ storer.Position, _ time.Duration) (storer.RowBatch, error) {
 	if b.partitioned.Load() {
 		return storer.RowBatch{}, errors.Wrap(storer.ErrUnavailable, "cut")
 	}
@@ -107,7 +107,7 @@
 	batch, err := s.List(ctx, "t")
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Rows), 1)
-	_, err = s.Watch(ctx, "t", 1, time.Millisecond)
+	_, err = s.Watch(ctx, "t", storer.Position{Version: 1}, time.Millisecond)
 	assert.ErrorIs(t, err, storer.ErrHistoryLost)
 
 	direct.partitioned.Store(false)
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -55,10 +55,10 @@
 }
 
 // Watch implements storer.Watcher.
-func (s *Store) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (storer.RowBatch, error) {
+func (s *Store) Watch(ctx context.Context, table string, after storer.Position, wait time.Duration) (storer.RowBatch, error) {
 	return relay(ctx, s, wait,
 		func(ctx context.Context) (storer.RowBatch, error) { return s.Direct.Watch(ctx, table, after, wait) },
-		&framer.RelayWatch{Table: table, After: after, Wait: wait}, decodeRowBatch)
+		&framer.RelayWatch{Table: table, After: after.Version, Wait: wait}, decodeRowBatch)
 }
 
 // callTimeout returns the timeout of a call, without the time that the store may wait.
--- a/internal/process/archiver/archiver.go
+++ b/internal/process/archiver/archiver.go
@@ -47,7 +47,9 @@
 	OnRestored   func()
 	OnUnreadable func(row storer.Row, err error)
 
-	version uint64 // of the row as far as known; used by Run only
+	// version is the row's version as far as known, as of era; used by Run only.
+	version uint64
+	era     storer.Era
 
 	mu     sync.Mutex // guards all below
 	stored []byte     // what was written last
@@ -116,19 +118,22 @@
 		if a.isStored(value) || (len(observations) == 0 && a.version == 0) {
 			return nil
 		}
-		var c storer.Commit
+		c := storer.Commit{Era: a.era}
 		c.Update(a.Key, a.version, value)
 		receipt, err := a.Store.CommitWithReceipt(ctx, c)
 		var conflict *storer.ConflictError
 		switch {
 		case err == nil:
-			a.version = receipt.Version
+			a.version, a.era = receipt.Version, receipt.Era
 			a.setStored(value)
 			return nil
+		case errors.Is(err, storer.ErrEraChanged):
+			a.version, a.era = 0, 0 // the row is read again
+			return err
 		case !errors.As(err, &conflict):
 			return err
 		}
-		a.version = 0
+		a.version, a.era = 0, conflict.Era
 		for _, row := range conflict.Rows {
 			a.version = row.Version
 			a.adopt(row)
--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -75,9 +75,9 @@
 	if err != nil {
 		return errors.Wrap(err, "encode member")
 	}
-	version := uint64(0)
+	version, era := uint64(0), storer.Era(0)
 	for ctx.Err() == nil {
-		var c storer.Commit
+		c := storer.Commit{Era: era}
 		c.Update(e.Key, version, value)
 		_, err := e.Store.CommitWithReceipt(ctx, c)
 		var conflict *storer.ConflictError
@@ -85,13 +85,15 @@
 		case err == nil:
 			return nil
 		case errors.As(err, &conflict):
-			version = 0
+			version, era = 0, conflict.Era
 			for _, row := range conflict.Rows {
 				version = row.Version
 				if string(row.Value) == string(value) {
 					return nil
 				}
 			}
+		case errors.Is(err, storer.ErrEraChanged):
+			version, era = 0, 0 // the row is read again
 		default:
 			pauser.Pause(ctx, retryInterval)
 		}
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -48,7 +48,8 @@
 // table again if the store has dropped the history that it needs.
 func (g *Gateway) follow(ctx context.Context, f tableFollower) {
 	state := feedState{failedAt: time.Now()}
-	next, listed := uint64(0), false
+	var next storer.Position
+	listed := false
 	for ctx.Err() == nil {
 		var batch storer.RowBatch
 		var err error
@@ -60,7 +61,7 @@
 		now := time.Now()
 		switch {
 		case errors.Is(err, storer.ErrHistoryLost):
-			logger.FeedReset.Log(g.Log, "table", f.table, "version", next)
+			logger.FeedReset.Log(g.Log, "table", f.table, "version", next.Version, "era", next.Era, "cause", err)
 			listed = false
 			state.failedAt = now
 			continue
@@ -81,7 +82,7 @@
 		} else {
 			f.replace(batch.Rows, stable)
 		}
-		next, listed = batch.NextVersion, true
+		next, listed = batch.Next, true
 	}
 }
 
--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -208,7 +208,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if batch.Era != era {
+	if batch.Next.Era != era {
 		return nil, 0, storer.ErrEraChanged
 	}
 	rows := make(map[string]eraRow)
--- a/internal/process/reconciler/reconciler_test.go
+++ b/internal/process/reconciler/reconciler_test.go
@@ -20,11 +20,11 @@
 // List implements storer.Watcher.
 func (m memory) List(ctx context.Context, table string) (storer.RowBatch, error) {
 	rows, err := m.Scan(ctx, table+"/", "", 1000)
-	return storer.RowBatch{Rows: rows, Era: m.Era()}, err
+	return storer.RowBatch{Rows: rows, Next: storer.Position{Era: m.Era()}}, err
 }
 
 // Watch implements storer.Watcher.
-func (memory) Watch(context.Context, string, uint64, time.Duration) (storer.RowBatch, error) {
+func (memory) Watch(context.Context, string, storer.Position, time.Duration) (storer.RowBatch, error) {
 	return storer.RowBatch{}, storer.ErrRefused
 }
 
--- a/internal/process/spender/allocator_sim_test.go
+++ b/internal/process/spender/allocator_sim_test.go
@@ -78,13 +78,13 @@
 		era := s.Era()
 		rows, err := s.Scan(ctx, prefix, "", 1000)
 		if s.Era() == era {
-			return storer.RowBatch{Rows: rows, Era: era}, err
+			return storer.RowBatch{Rows: rows, Next: storer.Position{Era: era}}, err
 		}
 	}
 }
 
 // Watch implements storer.Watcher.
-func (s *faultyStore) Watch(context.Context, string, uint64, time.Duration) (storer.RowBatch, error) {
+func (s *faultyStore) Watch(context.Context, string, storer.Position, time.Duration) (storer.RowBatch, error) {
 	return storer.RowBatch{}, storer.ErrRefused
 }
 
--- a/internal/process/spender/heartbeater.go
+++ b/internal/process/spender/heartbeater.go
@@ -232,13 +232,14 @@
 		var conflict *storer.ConflictError
 		switch {
 		case err == nil:
-			h.committed(receipt.Clock, receipt.Version)
-			pending = nil
-			if h.OnConfirmed != nil {
+			if err = h.committed(receipt); err == nil && h.OnConfirmed != nil {
 				h.OnConfirmed()
 			}
+			pending = nil
 		case errors.As(err, &conflict):
-			h.conflicted(conflict, sent)
+			if eraErr := h.conflicted(conflict, sent); eraErr != nil {
+				err, conflict = eraErr, nil
+			}
 			pending = nil
 		case errors.Is(err, storer.ErrEraChanged):
 			pending = nil
@@ -299,11 +300,17 @@
 	return c
 }
 
-func (h *Heartbeater) committed(clock time.Duration, version uint64) {
+// committed records a heartbeat that took effect. Another call may have told a newer era since, in
+// which the row's version is another one.
+func (h *Heartbeater) committed(r storer.Receipt) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.clock, h.clockAt, h.version = clock, time.Now(), version
+	if r.Era < h.era {
+		return errors.Wrapf(storer.ErrEraChanged, "receipt of era %d in era %d", r.Era, h.era)
+	}
+	h.clock, h.clockAt, h.version = r.Clock, time.Now(), r.Version
 	h.confirm()
+	return nil
 }
 
 // confirm records that the newest heartbeat built has taken effect.
@@ -313,10 +320,13 @@
 }
 
 // conflicted processes the row that a conflict returned: either this incarnation's own
-// heartbeat, whose reply was lost, or the predecessor's.
-func (h *Heartbeater) conflicted(conflict *storer.ConflictError, sent time.Time) {
+// heartbeat, whose reply was lost, or the predecessor's. The row of an earlier era is not used.
+func (h *Heartbeater) conflicted(conflict *storer.ConflictError, sent time.Time) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if conflict.Era < h.era {
+		return errors.Wrapf(storer.ErrEraChanged, "conflict of era %d in era %d", conflict.Era, h.era)
+	}
 	h.clock, h.clockAt, h.version = conflict.Clock, time.Now(), 0
 	var heartbeat wireHeartbeat
 	sentUnchanged := false
@@ -324,14 +334,14 @@
 		h.version = row.Version
 		sentUnchanged = bytes.Equal(row.Value, h.sentValue)
 		if err := json.Unmarshal(row.Value, &heartbeat); err != nil {
-			return // an unreadable heartbeat leaves the gap unknown
+			return nil // an unreadable heartbeat leaves the gap unknown
 		}
 	}
 	if sentUnchanged {
 		h.confirm() // the heartbeat whose reply was lost
 	}
 	if heartbeat.Incarnation == "" || heartbeat.Incarnation == h.Incarnation {
-		return
+		return nil
 	}
 	h.predecessorAllowances = make(map[string]Allowance, len(heartbeat.Allowances))
 	for name, allowance := range heartbeat.Allowances {
@@ -345,6 +355,7 @@
 	if storer.Era(heartbeat.RebasedEra) != conflict.Era {
 		h.predecessorGap = unknownGap // later heartbeats may be lost
 	}
+	return nil
 }
 
 func (h *Heartbeater) report(err error, conflict bool) {
--- a/internal/process/spender/inherit.go
+++ b/internal/process/spender/inherit.go
@@ -51,7 +51,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if batch.Era != a.era {
+	if batch.Next.Era != a.era {
 		return // the store has come back from a copy since
 	}
 	a.inheritedAll = true
--- a/internal/process/storer/guard.go
+++ b/internal/process/storer/guard.go
@@ -15,8 +15,8 @@
 }
 
 // Guard keeps the replies of different eras of a store apart. A reply of an older era than
-// the newest one seen is dropped, on whichever path it arrives, and a commit that relies
-// on an older era is not sent.
+// the newest one seen is dropped, on whichever path it arrives, and a call that relies on an
+// older era, a commit by its conditions or a Watch by its position, is not sent.
 //
 // Exported fields are set before the first call.
 type Guard struct {
@@ -61,20 +61,23 @@
 	if err != nil {
 		return RowBatch{}, err
 	}
-	if err := g.check(batch.Era, batch.Era, true); err != nil {
+	if err := g.check(batch.Next.Era, batch.Next.Era, true); err != nil {
 		return RowBatch{}, err
 	}
 	return batch, nil
 }
 
-// Watch implements Watcher. A new era ends the history, so that the table is listed again.
-func (g *Guard) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (RowBatch, error) {
-	era, known := g.current()
+// Watch implements Watcher. A new era ends the history, so that the table is listed again. That
+// era may be known already from another call, so the position is compared before and after.
+func (g *Guard) Watch(ctx context.Context, table string, after Position, wait time.Duration) (RowBatch, error) {
+	if era, known := g.current(); known && after.Era != era {
+		return RowBatch{}, errors.Wrapf(ErrHistoryLost, "position of era %d in era %d", after.Era, era)
+	}
 	batch, err := g.Store.Watch(ctx, table, after, wait)
 	if err != nil {
 		return RowBatch{}, err
 	}
-	err = g.check(batch.Era, era, known)
+	err = g.check(batch.Next.Era, after.Era, true)
 	if errors.Is(err, ErrEraChanged) {
 		err = errors.Wrap(ErrHistoryLost, err.Error())
 	}
--- a/internal/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -37,8 +37,8 @@
 	// between the reads on which a commit relies and the commit. What the call did, if
 	// anything, may be lost, so the caller has to read again.
 	ErrEraChanged = errors.New("the platform came back from a copy")
-	// ErrHistoryLost is returned by Watch when the changes after the given version are
-	// no longer available.
+	// ErrHistoryLost is returned by Watch when the changes after the given position are
+	// no longer available, or the position is of another era.
 	ErrHistoryLost = errors.New("the platform has dropped the history asked for")
 )
 
@@ -139,19 +139,25 @@
 	// Rows holds all rows after List, and the changed rows, oldest first, after Watch.
 	// A deleted row has no value.
 	Rows []Row
-	// NextVersion is the version to pass to the next Watch.
-	NextVersion uint64
-	Era         Era
+	// Next is the position to pass to the next Watch. Its era is that of the batch.
+	Next Position
+}
+
+// Position is a place in the change feed of a table: all changes up to a version of an era. In
+// another era the same version stands for other changes.
+type Position struct {
+	Era     Era
+	Version uint64
 }
 
 // Watcher lists a table and follows its change feed.
 type Watcher interface {
 	// List returns all rows of a table, or of one part of it (TABLE/PART/), and the
-	// version from which to watch for later changes.
+	// position from which to watch for later changes.
 	List(ctx context.Context, table string) (RowBatch, error)
-	// Watch returns the changes after a version as soon as there are any, or an empty
+	// Watch returns the changes after a position as soon as there are any, or an empty
 	// RowBatch after the wait. After ErrHistoryLost the table must be listed again.
-	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (RowBatch, error)
+	Watch(ctx context.Context, table string, after Position, wait time.Duration) (RowBatch, error)
 }
 
 // ReadOne reads a single row.
