Members that have ended are not elected as recorders, with joint quorums over each change

Cause: the five processes that record a router's draws were chosen among all that ever enrolled. With three of them gone for good there was no quorum.

Ruled out: links to new companions that don't come up (fleets whose old companions are there as well go on), tokens stranded in holdings.

Mend: a companion says in its row that it leaves; one that is not reached for long is declared gone, finds out if it still runs, and enrolls again without its records. Package elector holds the membership as a pure decision and elects recorders among those that run; draws are recorded in the new set and in earlier ones of 20 s as joint quorums, less the members that have certainly ended. Rows of the ended are deleted after a minute.

--- a/internal/connection/connector/connector.go
+++ b/internal/connection/connector/connector.go
@@ -15,8 +15,11 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/pauser"
 )
@@ -64,6 +67,8 @@
 	probe chan struct{}
 	// downSince is when the link was lost, or when the member was added.
 	downSince time.Time
+	// refused is set if the last attempt found no process that listens.
+	refused bool
 }
 
 // SetMembers replaces the members, given as addresses by name, and closes the links to
@@ -157,11 +162,24 @@
 	}
 }
 
+// Unreached returns how long attempts to connect to a member have failed, and whether its host replied to
+// the last one that no process listens. It returns 0 if the link is up or the name is not a member.
+func (c *Connector) Unreached(name string) (since time.Duration, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.members[name]
+	if !ok || m.link != nil {
+		return 0, false
+	}
+	return time.Since(m.downSince), m.refused
+}
+
 // maintainLink connects to a member, and reconnects with backoff, until ctx ends.
 func (c *Connector) maintainLink(ctx context.Context, name string, m *member) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		link, err := linker.Dial(ctx, m.address, c.Secret, c.Self())
+		c.setRefused(m, errors.Is(err, syscall.ECONNREFUSED))
 		if err != nil {
 			pauser.Pause(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
@@ -203,6 +221,12 @@
 	return c.Heartbeat(ctx, name, link)
 }
 
+func (c *Connector) setRefused(m *member, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m.refused = refused
+}
+
 func (c *Connector) setLink(m *member, link *linker.Link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/process/companion/companion.go
+++ b/internal/process/companion/companion.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,9 @@
 	"github.com/egretroute/egretroute/internal/process/recorder"
 )
 
+// leaveTimeout bounds the time in which a companion that stops tells the fleet so.
+const leaveTimeout = time.Second
+
 // Companion relays calls to the store. Exported fields are set before Run.
 type Companion struct {
 	Name        string
@@ -41,9 +45,10 @@
 // Run serves until ctx ends. It returns an error if the link server fails before that.
 func (c *Companion) Run(ctx context.Context) error {
 	relayServer := &relayer.Server{Store: c.Store}
+	records := recorder.New(time.Now)
 	linkServer := &linker.Server{
 		Secret: c.Secret, Self: linker.Identity{Name: c.Name, Incarnation: c.Incarnation}, Log: c.Log,
-		Handler:   handler{relayServer: relayServer, recorder: recorder.New(time.Now), incarnation: c.Incarnation},
+		Handler:   handler{relayServer: relayServer, recorder: records, incarnation: c.Incarnation},
 		OnRefused: func(err error) { logger.PeerRefused.Log(c.Log, "error", err) },
 	}
 	failed := make(chan error, 1)
@@ -56,14 +61,28 @@
 		Name: c.Name, Incarnation: c.Incarnation, Kind: enroller.Companion, Address: c.Listener.Addr().String(),
 		Domain: c.Domain,
 	}}
-	if err := memberEnroller.Run(ctx); err == nil {
+	var membership sync.WaitGroup
+	membership.Go(func() {
+		if memberEnroller.Run(ctx) != nil {
+			return
+		}
 		logger.MemberEnrolled.Log(c.Log, "host", c.Name, "address", c.Listener.Addr().String())
-	}
+		memberEnroller.Keep(ctx, func() {
+			records.Reset() // routers have recorded draws elsewhere meanwhile
+			logger.MemberRejoins.Log(c.Log, "host", c.Name)
+		})
+	})
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve links")
 	case <-ctx.Done():
 	}
+	membership.Wait()
+	records.Close()
+	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	err := memberEnroller.Leave(leaveCtx)
+	logger.MemberLeaves.Log(c.Log, "host", c.Name, "error", err) // without the row, others find out that it is gone
 	_ = c.Listener.Close()
 	linkServer.Close()
 	logger.CompanionStopped.Log(c.Log, "host", c.Name)
--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -5,6 +5,9 @@
 //
 //	e := &enroller.Enroller{Store: store, Key: key, Self: enroller.Member{Name: "router-1", Kind: enroller.Router, ...}}
 //	err := e.Run(ctx)
+//	go e.Keep(ctx, reset)
+//	...
+//	err = e.Leave(ctx)
 //	member, err := enroller.Decode(row)
 package enroller
 
@@ -19,8 +22,12 @@
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
 
-// retryInterval is the pause between attempts while the store is unavailable.
-const retryInterval = 500 * time.Millisecond
+const (
+	// retryInterval is the pause between attempts while the store is unavailable.
+	retryInterval = 500 * time.Millisecond
+	// checkInterval is how often Keep reads the row.
+	checkInterval = time.Minute
+)
 
 // Kind is the role of a process.
 type Kind int
@@ -41,6 +48,19 @@
 	return "router"
 }
 
+// State tells whether a member takes part.
+type State string
+
+// The states of a member.
+const (
+	Running State = ""
+	// Left means that the process has said itself that it ends.
+	Left State = "left"
+	// Gone means that others have not reached the process for long. It may still run, and enrolls
+	// again then.
+	Gone State = "gone"
+)
+
 // Member is a process of the fleet.
 type Member struct {
 	Name        string
@@ -49,6 +69,9 @@
 	// Address is the address to which other processes connect.
 	Address string
 	Domain  string
+	State   State
+	// Joins is how often this incarnation has enrolled again after it counted as gone.
+	Joins int
 }
 
 // Enroller writes a process's row. Exported fields are set before Run.
@@ -56,6 +79,10 @@
 	Store storer.Committer
 	Key   string
 	Self  Member
+
+	// version is the row's version as of era.
+	version uint64
+	era     storer.Era
 }
 
 type memberRow struct {
@@ -64,36 +91,28 @@
 	Kind        string `json:"kind"`
 	Address     string `json:"address"`
 	Domain      string `json:"domain"`
+	State       string `json:"state,omitempty"`
+	Joins       int    `json:"joins,omitempty"`
 }
 
 // Run writes the row, retrying until it succeeds or ctx ends.
 func (e *Enroller) Run(ctx context.Context) error {
-	value, err := json.Marshal(memberRow{
-		Name: e.Self.Name, Incarnation: e.Self.Incarnation, Kind: e.Self.Kind.String(), Address: e.Self.Address,
-		Domain: e.Self.Domain,
-	})
-	if err != nil {
-		return errors.Wrap(err, "encode member")
-	}
-	version, era := uint64(0), storer.Era(0)
+	value := Encode(e.Self)
 	for ctx.Err() == nil {
-		c := storer.Commit{Era: era}
-		c.Update(e.Key, version, value)
-		_, err := e.Store.CommitWithReceipt(ctx, c)
+		c := storer.Commit{Era: e.era}
+		c.Update(e.Key, e.version, value)
+		receipt, err := e.Store.CommitWithReceipt(ctx, c)
 		var conflict *storer.ConflictError
 		switch {
 		case err == nil:
+			e.version, e.era = receipt.Version, receipt.Era
 			return nil
 		case errors.As(err, &conflict):
-			version, era = 0, conflict.Era
-			for _, row := range conflict.Rows {
-				version = row.Version
-				if string(row.Value) == string(value) {
-					return nil
-				}
+			if row := e.adopt(conflict); string(row.Value) == string(value) {
+				return nil
 			}
 		case errors.Is(err, storer.ErrEraChanged):
-			version, era = 0, 0 // the row is read again
+			e.version, e.era = 0, 0 // the row is read again
 		default:
 			pauser.Pause(ctx, retryInterval)
 		}
@@ -101,13 +120,92 @@
 	return ctx.Err()
 }
 
+// adopt takes over the version of the row that a conflict returned, and returns the row.
+func (e *Enroller) adopt(conflict *storer.ConflictError) (row storer.Row) {
+	if len(conflict.Rows) > 0 {
+		row = conflict.Rows[0]
+	}
+	e.version, e.era = row.Version, conflict.Era
+	return row
+}
+
+// Keep reads the row now and then until ctx ends. If others have declared the process gone, it
+// calls rejoin and enrolls again. It must not run beside Run or Leave.
+func (e *Enroller) Keep(ctx context.Context, rejoin func()) {
+	for {
+		pauser.Pause(ctx, checkInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		c := storer.Commit{Conditions: []storer.Condition{{Key: e.Key, Version: e.version}}}
+		_, err := e.Store.CommitWithReceipt(ctx, c)
+		var conflict *storer.ConflictError
+		if !errors.As(err, &conflict) {
+			continue // the row is unchanged, or can't be read now
+		}
+		row := e.adopt(conflict)
+		if string(row.Value) == string(Encode(e.Self)) {
+			continue
+		}
+		if row.Value != nil { // a row that is missing is lost with a copy of the store
+			rejoin()
+			e.Self.Joins++
+		}
+		if e.Run(ctx) != nil {
+			return
+		}
+	}
+}
+
+// Leave tells the fleet that the process ends. The caller must have stopped all that others rely on.
+func (e *Enroller) Leave(ctx context.Context) error {
+	e.Self.State = Left
+	return e.Run(ctx)
+}
+
+// Declare writes a state of another member, which others have found out, unless its row has changed.
+func Declare(ctx context.Context, store storer.Committer, key string, m Member, state State) error {
+	declared := m
+	declared.State = state
+	return replace(ctx, store, key, Encode(m), Encode(declared))
+}
+
+// Delete deletes the row of a member that has ended, unless it has changed.
+func Delete(ctx context.Context, store storer.Committer, key string, m Member) error {
+	return replace(ctx, store, key, Encode(m), nil)
+}
+
+// replace replaces a row if it has a certain value. A condition that the row does not exist returns it.
+func replace(ctx context.Context, store storer.Committer, key string, expected, value []byte) error {
+	_, err := store.CommitWithReceipt(ctx, storer.Commit{Conditions: []storer.Condition{{Key: key}}})
+	var conflict *storer.ConflictError
+	if !errors.As(err, &conflict) || len(conflict.Rows) == 0 || string(conflict.Rows[0].Value) != string(expected) {
+		if conflict != nil {
+			return nil // others know more
+		}
+		return err
+	}
+	c := storer.Commit{Era: conflict.Era}
+	c.Update(key, conflict.Rows[0].Version, value)
+	_, err = store.CommitWithReceipt(ctx, c)
+	return err
+}
+
+// Encode encodes a member's row.
+func Encode(m Member) []byte {
+	value, _ := json.Marshal(memberRow{ // always encodes
+		Name: m.Name, Incarnation: m.Incarnation, Kind: m.Kind.String(), Address: m.Address, Domain: m.Domain, State: string(m.State), Joins: m.Joins,
+	})
+	return value
+}
+
 // Decode decodes a row written by an Enroller.
 func Decode(row storer.Row) (Member, error) {
 	var w memberRow
 	if err := json.Unmarshal(row.Value, &w); err != nil {
 		return Member{}, errors.Wrap(err, "decode member")
 	}
-	m := Member{Name: w.Name, Incarnation: w.Incarnation, Address: w.Address, Domain: w.Domain}
+	m := Member{Name: w.Name, Incarnation: w.Incarnation, Address: w.Address, Domain: w.Domain, State: State(w.State), Joins: w.Joins}
 	if w.Kind == Companion.String() {
 		m.Kind = Companion
 	}
--- a/internal/process/gateway/eras.go
+++ b/internal/process/gateway/eras.go
@@ -7,13 +7,10 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/egretroute/egretroute/internal/connection/framer"
-	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/reconciler"
-	"github.com/egretroute/egretroute/internal/process/recorder"
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/process/storer"
 )
@@ -23,12 +20,6 @@
 	erasTable = "eras"
 	// holdingsTable has a part for each router.
 	holdingsTable = "holdings"
-	// maxRecorders is how many processes are asked to record a router's draws. Any two may be
-	// down.
-	maxRecorders = 5
-	// minCompanions is the number of companions from which routers need not record draws too:
-	// they often end together.
-	minCompanions = 3
 )
 
 // onEra handles the era of the store's first reply and of each later one that is newer.
@@ -119,9 +110,9 @@
 	g.peers.mu.Lock()
 	defer g.peers.mu.Unlock()
 	var names []string
-	for name, m := range g.peers.members {
+	for _, m := range g.peers.members.All() {
 		if m.Kind == enroller.Router {
-			names = append(names, name)
+			names = append(names, m.Name)
 		}
 	}
 	slices.Sort(names)
@@ -144,109 +135,3 @@
 	}
 	return limits
 }
-
-// recordDraws records this router's draws.
-func (g *Gateway) recordDraws(ctx context.Context, draws []framer.Draw) error {
-	if _, ok := g.feeds.Load(membersTable); !ok {
-		return recorder.ErrNoQuorum // the members are not known yet
-	}
-	startedAt := time.Now()
-	members := g.peers.recordersOf(g.Name)
-	peers := make([]recorder.Peer, len(members))
-	for i, m := range members {
-		peers[i] = g.peers.recorderPeer(m)
-	}
-	err := recorder.NewQuorum(len(peers)).Record(ctx, peers, &framer.RecordDraws{Router: g.Name, Draws: draws})
-	switch {
-	case err != nil && g.unrecordedSince.CompareAndSwap(nil, &startedAt):
-		logger.DrawsNotRecorded.Log(g.Log, "router", g.Name, "organisations", len(draws), "error", err)
-	case err == nil:
-		if since := g.unrecordedSince.Swap(nil); since != nil {
-			logger.DrawsRecorded.Log(g.Log, "router", g.Name, "after", time.Since(*since))
-		}
-	}
-	return err
-}
-
-// fetchDraws returns the recorded draws of a router; see reconciler.Reconciler.Fetch.
-func (g *Gateway) fetchDraws(ctx context.Context, router string, minAge time.Duration) (map[string]framer.Draw, recorder.Completeness) {
-	members := g.peers.recordersOf(router)
-	peers := make([]recorder.Peer, len(members))
-	for i, m := range members {
-		if m.Name == g.Name {
-			peers[i] = localRecorder{g.recorder}
-			continue
-		}
-		peers[i] = g.peers.recorderPeer(m)
-		if peers[i] != nil {
-			continue
-		}
-		dialCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		link, err := linker.Dial(dialCtx, m.Address, g.Secret, linker.Identity{Name: g.Name, Incarnation: g.Incarnation})
-		cancel()
-		if err != nil {
-			continue // it counts as one that can't be reached
-		}
-		defer link.Close()
-		peers[i] = linkedRecorder{link}
-	}
-	return recorder.NewQuorum(len(peers)).Fetch(ctx, peers, router, minAge)
-}
-
-// recordersOf returns the members that record a router's draws. All routers that know the same
-// members agree on them.
-func (p *peerLinks) recordersOf(router string) []enroller.Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var companions, all []enroller.Member
-	for _, m := range p.members {
-		if m.Kind == enroller.Companion {
-			companions = append(companions, m)
-		}
-		if m.Name != router {
-			all = append(all, m)
-		}
-	}
-	if len(companions) >= minCompanions {
-		all = companions
-	}
-	return chooseMembers(router, all, maxRecorders)
-}
-
-// recorderPeer returns a member that is linked to, or nil.
-func (p *peerLinks) recorderPeer(m enroller.Member) recorder.Peer {
-	links := p.routers
-	if m.Kind == enroller.Companion {
-		links = p.companions
-	}
-	if link := links.Link(m.Name); link != nil {
-		return linkedRecorder{link}
-	}
-	return nil
-}
-
-// linkedRecorder is a process that records draws, at the end of a link.
-type linkedRecorder struct{ link *linker.Link }
-
-// Record implements recorder.Peer.
-func (r linkedRecorder) Record(ctx context.Context, m *framer.RecordDraws) (*framer.DrawsRecorded, error) {
-	return linker.Call[*framer.DrawsRecorded](ctx, r.link, m)
-}
-
-// Fetch implements recorder.Peer.
-func (r linkedRecorder) Fetch(ctx context.Context, m *framer.FetchDraws) (*framer.RecordedDraws, error) {
-	return linker.Call[*framer.RecordedDraws](ctx, r.link, m)
-}
-
-// localRecorder is this process's own recorder.
-type localRecorder struct{ *recorder.Recorder }
-
-// Record implements recorder.Peer.
-func (r localRecorder) Record(_ context.Context, m *framer.RecordDraws) (*framer.DrawsRecorded, error) {
-	return r.Recorder.Record(m), nil
-}
-
-// Fetch implements recorder.Peer.
-func (r localRecorder) Fetch(_ context.Context, m *framer.FetchDraws) (*framer.RecordedDraws, error) {
-	return r.Recorder.Fetch(m), nil
-}
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -1,18 +1,16 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/egretroute/egretroute/internal/connection/connector"
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
+	"github.com/egretroute/egretroute/internal/process/elector"
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
 	"github.com/egretroute/egretroute/internal/process/pauser"
@@ -32,8 +30,8 @@
 	maxPushPeers = 12
 	// companionPingInterval is how often a link to a companion is probed.
 	companionPingInterval = 2 * time.Second
-	// maxCompanions is how many companions a router keeps links to: all that record its draws.
-	maxCompanions = maxRecorders
+	// maxCompanions is how many companions a router keeps links to, besides all that record its draws.
+	maxCompanions = elector.MaxRecorders
 	// reportBytesPerSecond bounds the exchange of reports in a large fleet, as the
 	// users limit control traffic.
 	reportBytesPerSecond = 1500
@@ -47,7 +45,11 @@
 	companions *connector.Connector
 
 	mu      sync.Mutex // guards all below
-	members map[string]enroller.Member
+	members *elector.Elector
+	// own holds the sets of members that record this router's draws, as of ownAt and ownVersion.
+	own        []elector.Set
+	ownAt      time.Time
+	ownVersion int
 	// silentSince holds when a peer last left a request for a loan unanswered.
 	silentSince map[string]time.Time
 	// routerHashes holds the hashes of the names of all routers that have ever enrolled.
@@ -61,7 +63,7 @@
 		logger.PeerLinked.Log(g.Log, "peer", name, "incarnation", link.Peer.Incarnation)
 	}
 	return &peerLinks{
-		members: make(map[string]enroller.Member), silentSince: make(map[string]time.Time),
+		members: &elector.Elector{StartedAt: time.Now()}, silentSince: make(map[string]time.Time),
 		routers: &connector.Connector{
 			Self: self, Secret: g.Secret, Interval: reportInterval, BytesPerSecond: reportBytesPerSecond, Heartbeat: g.exchangeReports,
 			OnUp: up,
@@ -121,22 +123,31 @@
 	return float64(n)
 }
 
-// add adds a member.
+// add adds a member, or what is new of it.
 func (p *peerLinks) add(m enroller.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, known := p.members[m.Name]
-	p.members[m.Name] = m
-	if known || m.Kind != enroller.Router {
+	if !p.members.Apply(m, time.Now()) || m.Kind != enroller.Router {
 		return
 	}
-	routers := []uint64{sharer.Hash(m.Name)}
+	hash := sharer.Hash(m.Name)
+	routers := []uint64{hash}
 	if earlier := p.routerHashes.Load(); earlier != nil {
+		if slices.Contains(*earlier, hash) {
+			return
+		}
 		routers = append(routers, *earlier...)
 	}
 	p.routerHashes.Store(&routers)
 }
 
+// remove removes a member that has ended.
+func (p *peerLinks) remove(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members.Remove(name)
+}
+
 // membership returns what this router knows of the routers that share the fleet's budgets.
 func (g *Gateway) membership() sharer.Membership {
 	m := sharer.Membership{Self: sharer.Hash(g.Name)}
@@ -228,6 +239,8 @@
 
 func (g *Gateway) applyMember(row storer.Row) {
 	if row.Value == nil {
+		g.rowCache.put(g.rowCache.members, row)
+		g.peers.remove(g.Schema.KeyOf(row))
 		return
 	}
 	m, err := enroller.Decode(row)
@@ -239,12 +252,14 @@
 	g.peers.add(m)
 }
 
-// updateLinks sets the links to all other routers and to some companions.
+// updateLinks sets the links to all other routers, to some companions, and to those that record or
+// have just recorded this router's draws.
 func (g *Gateway) updateLinks(ctx context.Context) {
+	recorders := g.peers.ownRecorders(g.Name)
 	g.peers.mu.Lock()
 	routers := make(map[string]string)
 	var companions []enroller.Member
-	for _, m := range g.peers.members {
+	for _, m := range g.peers.members.Running() {
 		switch {
 		case m.Kind == enroller.Companion:
 			companions = append(companions, m)
@@ -255,28 +270,17 @@
 	g.peers.mu.Unlock()
 	g.peers.routers.SetMembers(ctx, routers)
 	linked := make(map[string]string)
-	for _, m := range chooseMembers(g.Name, companions, maxCompanions) {
+	for _, m := range elector.Choose(g.Name, companions, maxCompanions) {
 		linked[m.Name] = m.Address
 	}
-	g.peers.companions.SetMembers(ctx, linked)
-}
-
-// chooseMembers picks a few members for a router by rendezvous hashing, from different
-// failure domains where there are some.
-func chooseMembers(router string, all []enroller.Member, count int) (chosen []enroller.Member) {
-	score := func(m enroller.Member) uint64 { return xxhash.Sum64String(router + "/" + m.Name) }
-	slices.SortFunc(all, func(a, b enroller.Member) int { return cmp.Compare(score(a), score(b)) })
-	domains := make(map[string]bool)
-	taken := make(map[string]bool)
-	for _, sameDomain := range []bool{false, true} {
-		for _, m := range all {
-			if len(chosen) < count && domains[m.Domain] == sameDomain && !taken[m.Name] {
-				chosen = append(chosen, m)
-				domains[m.Domain], taken[m.Name] = true, true
+	for _, set := range recorders {
+		for _, v := range set.Voters {
+			if v.Member.Kind == enroller.Companion && !v.Ended {
+				linked[v.Member.Name] = v.Member.Address
 			}
 		}
 	}
-	return chosen
+	g.peers.companions.SetMembers(ctx, linked)
 }
 
 // pushReports sends reports to peers as soon as a long request begins or ends, or a target
--- a/internal/process/gateway/stock.go
+++ b/internal/process/gateway/stock.go
@@ -54,9 +54,9 @@
 	g.peers.mu.Lock()
 	defer g.peers.mu.Unlock()
 	var names []string
-	for name, m := range g.peers.members {
-		if m.Kind == enroller.Router && name != g.Name {
-			names = append(names, name)
+	for _, m := range g.peers.members.Running() {
+		if m.Kind == enroller.Router && m.Name != g.Name {
+			names = append(names, m.Name)
 		}
 	}
 	return names
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -115,6 +115,10 @@
 	CauseFound                = Event{371, slog.LevelWarn, "requests with one feature crash the targets that run them and are refused", "tell the organisations; docs/OPERATIONS.md"}
 	CauseEnded                = Event{372, slog.LevelInfo, "feature is no longer taken for a cause of crashes", "none"}
 	CauseRetried              = Event{373, slog.LevelInfo, "request with a cause of crashes is tried after a time without any", "none"}
+	MemberRejoins             = Event{374, slog.LevelWarn, "others have declared this process gone; it enrolls again without its records", "check its links to routers"}
+	MemberLeaves              = Event{375, slog.LevelInfo, "process leaves the fleet", "none"}
+	MemberGone                = Event{376, slog.LevelWarn, "a member can't be reached and is declared gone", "none if it was removed; otherwise check its host and its links"}
+	MemberDeleted             = Event{377, slog.LevelInfo, "row of a member that has ended was deleted", "none"}
 )
 
 // Catalogue lists all events in ascending order of number.
@@ -131,4 +135,5 @@
 	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	TargetLeaving, TargetPaused, TargetsPaused,
 	ClientConnections, Overload, BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped, DrawsRecorded, MembersRestored, TargetLimit, TargetLimitUnreadable, TargetsLimited, CauseFound, CauseEnded, CauseRetried,
+	MemberRejoins, MemberLeaves, MemberGone, MemberDeleted,
 }
--- a/internal/process/recorder/quorum.go
+++ b/internal/process/recorder/quorum.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,22 +40,43 @@
 	return Quorum{Write: write, Read: n + 1 - write}
 }
 
-// Record records draws with the peers, of which those that can't be reached are nil, and returns
-// once enough have confirmed them.
-func (q Quorum) Record(ctx context.Context, peers []Peer, m *framer.RecordDraws) error {
-	if q.Write == 0 {
+// Set is a set of processes that record a router's draws.
+type Set struct {
+	Members []string
+	Quorum
+}
+
+// NewSet returns a set of members that all count.
+func NewSet(members []string) Set {
+	return Set{Members: members, Quorum: NewQuorum(len(members))}
+}
+
+// Record records draws with the peers, of which those that can't be reached are missing, and returns
+// once enough of each set have confirmed them.
+func Record(ctx context.Context, peers map[string]Peer, sets []Set, m *framer.RecordDraws) error {
+	confirmed := make([]int, len(sets))
+	recorded := func() bool {
+		for i, set := range sets {
+			if confirmed[i] < set.Write {
+				return false
+			}
+		}
+		return true
+	}
+	if recorded() {
 		return nil
 	}
-	confirmed := 0
 	for reply := range ask(ctx, peers, func(ctx context.Context, p Peer) (*framer.DrawsRecorded, error) { return p.Record(ctx, m) }) {
-		if reply == nil {
-			continue
+		for i, set := range sets {
+			if slices.Contains(set.Members, reply.from) {
+				confirmed[i]++
+			}
 		}
-		if confirmed++; confirmed == q.Write {
+		if recorded() {
 			return nil
 		}
 	}
-	return errors.Wrapf(ErrNoQuorum, "%d of %d", confirmed, q.Write)
+	return errors.Wrapf(ErrNoQuorum, "%v of %d sets", confirmed, len(sets))
 }
 
 // Completeness tells whether fetched records may lack some.
@@ -69,55 +92,64 @@
 	Complete
 )
 
-// Fetch returns the newest records of a router's draws. They are complete if enough peers have
-// replied that have run for minAge.
-func (q Quorum) Fetch(ctx context.Context, peers []Peer, router string, minAge time.Duration) (draws map[string]framer.Draw, c Completeness) {
+// Fetch returns the newest records of a router's draws. They are complete if enough peers of each
+// set have replied that have run for minAge.
+func Fetch(ctx context.Context, peers map[string]Peer, sets []Set, router string, minAge time.Duration) (draws map[string]framer.Draw, c Completeness) {
 	draws = make(map[string]framer.Draw)
-	replied, old := 0, 0
+	var replied, old []string
 	m := &framer.FetchDraws{Router: router}
 	for reply := range ask(ctx, peers, func(ctx context.Context, p Peer) (*framer.RecordedDraws, error) { return p.Fetch(ctx, m) }) {
-		if reply == nil {
-			continue
-		}
-		replied++
-		if reply.Age >= minAge {
-			old++
+		replied = append(replied, reply.from)
+		if reply.value.Age >= minAge {
+			old = append(old, reply.from)
 		}
-		for _, d := range reply.Draws {
+		for _, d := range reply.value.Draws {
 			draws[d.Organisation] = Newer(draws[d.Organisation], d)
 		}
 	}
-	switch {
-	case replied < q.Read:
-		return draws, Unreached
-	case len(peers) == 0 || old < q.Read:
-		return draws, Reached
-	default:
-		return draws, Complete
+	c = Complete
+	for _, set := range sets {
+		switch {
+		case set.count(replied) < set.Read:
+			return draws, Unreached
+		case len(set.Members) == 0 || set.count(old) < set.Read:
+			c = Reached
+		}
 	}
+	return draws, c
 }
 
-// ask calls all peers at once and returns a channel with one result for each, nil if it failed.
-func ask[T any](ctx context.Context, peers []Peer, call func(ctx context.Context, p Peer) (*T, error)) <-chan *T {
-	out := make(chan *T, len(peers))
-	left := make(chan struct{}, len(peers))
-	for _, p := range peers {
-		go func() {
-			defer func() { left <- struct{}{} }()
-			if p == nil {
-				return
-			}
+// count returns how many of the set's members are among names.
+func (s Set) count(names []string) (n int) {
+	for _, name := range s.Members {
+		if slices.Contains(names, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// answer is a peer's reply.
+type answer[T any] struct {
+	from  string
+	value *T
+}
+
+// ask calls all peers at once and returns a channel with the replies of those that give one.
+func ask[T any](ctx context.Context, peers map[string]Peer, call func(ctx context.Context, p Peer) (*T, error)) <-chan answer[T] {
+	out := make(chan answer[T], len(peers))
+	var calls sync.WaitGroup
+	for name, p := range peers {
+		calls.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			if reply, err := call(callCtx, p); err == nil {
-				out <- reply
+				out <- answer[T]{from: name, value: reply}
 			}
-		}()
+		})
 	}
 	go func() {
-		for range peers {
-			<-left
-		}
+		calls.Wait()
 		close(out)
 	}()
 	return out
--- a/internal/process/recorder/recorder.go
+++ b/internal/process/recorder/recorder.go
@@ -3,16 +3,17 @@
 // moment, the records are all that tells of it.
 //
 // A router records each draw with a quorum of a few processes before it commits it, so
-// that any larger part of them knows of it.
+// that any larger part of them knows of it. Where the set of processes changes, it needs quorums of
+// the new set and of earlier ones.
 //
 // # Usage
 //
 //	r := recorder.New(time.Now)
 //	handled := r.Serve(stream, message)
 //
-//	q := recorder.NewQuorum(len(peers))
-//	err := q.Record(ctx, peers, &framer.RecordDraws{Router: "router-1", Draws: draws})
-//	draws, completeness := q.Fetch(ctx, peers, "router-1", 15*time.Second)
+//	sets := []recorder.Set{recorder.NewSet(names)}
+//	err := recorder.Record(ctx, peers, sets, &framer.RecordDraws{Router: "router-1", Draws: draws})
+//	draws, completeness := recorder.Fetch(ctx, peers, sets, "router-1", 15*time.Second)
 package recorder
 
 import (
@@ -23,18 +24,19 @@
 	"github.com/egretroute/egretroute/internal/connection/linker"
 )
 
-// keepFor is how long a draw is remembered: several times the age of the oldest copy from
+// KeepFor is how long a draw is remembered: several times the age of the oldest copy from
 // which a store comes back.
-const keepFor = time.Minute
+const KeepFor = time.Minute
 
 // Recorder remembers the draws of routers.
 type Recorder struct {
-	now       func() time.Time
-	startedAt time.Time
+	now func() time.Time
 
-	mu       sync.Mutex // guards all below
-	records  map[string]map[string]record
-	prunedAt time.Time
+	mu        sync.Mutex // guards all below
+	startedAt time.Time
+	records   map[string]map[string]record
+	prunedAt  time.Time
+	closed    bool
 }
 
 type record struct {
@@ -51,20 +53,43 @@
 func (r *Recorder) Serve(stream *linker.Stream, message any) bool {
 	switch m := message.(type) {
 	case *framer.RecordDraws:
-		_ = stream.Write(r.Record(m)) // on failure the router sees the stream end
+		if reply := r.Record(m); reply != nil {
+			_ = stream.Write(reply) // on failure the router sees the stream end
+		}
 	case *framer.FetchDraws:
-		_ = stream.Write(r.Fetch(m)) // on failure the router sees the stream end
+		if reply := r.Fetch(m); reply != nil {
+			_ = stream.Write(reply) // on failure the router sees the stream end
+		}
 	default:
 		return false
 	}
 	return true
 }
 
+// Reset forgets all records and starts anew, after this process was not elected for a time and may
+// lack some.
+func (r *Recorder) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records, r.startedAt = make(map[string]map[string]record), r.now()
+}
+
+// Close ends the service: nothing is recorded or fetched any more, so that others may rely on the
+// loss of the records.
+func (r *Recorder) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+}
+
 // Record remembers draws. Of several draws of one router and organisation, that of the latest
-// commit counts, and of equal commits of two incarnations the larger one.
+// commit counts, and of equal commits of two incarnations the larger one. It returns nil after Close.
 func (r *Recorder) Record(m *framer.RecordDraws) *framer.DrawsRecorded {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.closed {
+		return nil
+	}
 	now := r.now()
 	r.prune(now)
 	draws, ok := r.records[m.Router]
@@ -78,10 +103,13 @@
 	return &framer.DrawsRecorded{Age: now.Sub(r.startedAt)}
 }
 
-// Fetch returns what is remembered of a router.
+// Fetch returns what is remembered of a router, or nil after Close.
 func (r *Recorder) Fetch(m *framer.FetchDraws) *framer.RecordedDraws {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.closed {
+		return nil
+	}
 	reply := &framer.RecordedDraws{Age: r.now().Sub(r.startedAt)}
 	for _, rec := range r.records[m.Router] {
 		reply.Draws = append(reply.Draws, rec.draw)
@@ -99,13 +127,13 @@
 
 // prune forgets old draws, once in a while. r.mu must be held.
 func (r *Recorder) prune(now time.Time) {
-	if now.Sub(r.prunedAt) < keepFor {
+	if now.Sub(r.prunedAt) < KeepFor {
 		return
 	}
 	r.prunedAt = now
 	for router, draws := range r.records {
 		for organisation, rec := range draws {
-			if now.Sub(rec.at) > keepFor {
+			if now.Sub(rec.at) > KeepFor {
 				delete(draws, organisation)
 			}
 		}
--- a/internal/process/recorder/recorder_test.go
+++ b/internal/process/recorder/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -46,11 +47,13 @@
 	for n := range 7 {
 		for down := range 1 << n {
 			now := time.Unix(0, 0)
-			var peers []recorder.Peer
+			peers := make(map[string]recorder.Peer)
 			var all []*peer
-			for range n {
+			var names []string
+			for i := range n {
 				p := &peer{Recorder: recorder.New(func() time.Time { return now })}
-				all, peers = append(all, p), append(peers, p)
+				all, names = append(all, p), append(names, strconv.Itoa(i))
+				peers[names[i]] = p
 			}
 			now = now.Add(minAge)
 			up := 0
@@ -60,8 +63,8 @@
 					up++
 				}
 			}
-			q := recorder.NewQuorum(n)
-			err := q.Record(t.Context(), peers, &framer.RecordDraws{Router: "r", Draws: []framer.Draw{draw}})
+			q := recorder.NewSet(names)
+			err := recorder.Record(t.Context(), peers, []recorder.Set{q}, &framer.RecordDraws{Router: "r", Draws: []framer.Draw{draw}})
 			assert.Assert(t, (err == nil) == (up >= q.Write), "%d of %d up: %v", up, n, err)
 			if err != nil {
 				continue
@@ -74,7 +77,7 @@
 						up++
 					}
 				}
-				draws, completeness := q.Fetch(t.Context(), peers, "r", minAge)
+				draws, completeness := recorder.Fetch(t.Context(), peers, []recorder.Set{q}, "r", minAge)
 				want := recorder.Complete
 				switch {
 				case up < q.Read:
@@ -86,7 +89,7 @@
 				if completeness == recorder.Complete {
 					assert.Equal(t, draws["alpha"], draw, "%d of %d up", up, n)
 				}
-				_, completeness = q.Fetch(t.Context(), peers, "r", minAge+1)
+				_, completeness = recorder.Fetch(t.Context(), peers, []recorder.Set{q}, "r", minAge+1)
 				assert.Assert(t, completeness != recorder.Complete)
 			}
 		}
--- a/internal/process/spender/eras_sim_test.go
+++ b/internal/process/spender/eras_sim_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -76,11 +78,12 @@
 
 const simRecorders = 5
 
-func (s *eraSim) peers() (peers []recorder.Peer) {
+func (s *eraSim) peers() (peers map[string]recorder.Peer, sets []recorder.Set) {
+	peers = make(map[string]recorder.Peer)
 	for n := range simRecorders {
-		peers = append(peers, recorderPeer{sim: s, n: n})
+		peers[fmt.Sprint(n)] = recorderPeer{sim: s, n: n}
 	}
-	return peers
+	return peers, []recorder.Set{recorder.NewSet(slices.Collect(maps.Keys(peers)))}
 }
 
 func (s *eraSim) budgetKey(organisation string) string { return "budgets/" + organisation }
@@ -92,7 +95,6 @@
 // connect lets an incarnation of a router follow the eras as a gateway does.
 func (s *eraSim) connect(ctx context.Context, r *simRouter, h *spender.Heartbeater, a *spender.Allocator) {
 	guard := &storer.Guard{Store: s.store}
-	quorum := recorder.NewQuorum(simRecorders)
 	rec := &reconciler.Reconciler{
 		Store: guard, Router: r.name, Table: "eras/", Key: func(router string) string { return "eras/" + router }, Holdings: a,
 		Counter: &spender.Counter{Table: guard, BudgetKey: s.budgetKey, HoldingKey: s.holdingKey},
@@ -108,7 +110,8 @@
 			return len(batch.Rows) > 0, err
 		},
 		Fetch: func(ctx context.Context, router string, minAge time.Duration) (map[string]framer.Draw, recorder.Completeness) {
-			return quorum.Fetch(ctx, s.peers(), router, minAge)
+			peers, sets := s.peers()
+			return recorder.Fetch(ctx, peers, sets, router, minAge)
 		},
 		OnCounted: func(_ storer.Era, _ string, method reconciler.Method, _ int64) {
 			s.mu.Lock()
@@ -142,7 +145,8 @@
 	a.Table, h.Table = table, table
 	if !s.switches.noRecords {
 		a.Record = func(ctx context.Context, draws []framer.Draw) error {
-			return quorum.Record(ctx, s.peers(), &framer.RecordDraws{Router: r.name, Draws: draws})
+			peers, sets := s.peers()
+			return recorder.Record(ctx, peers, sets, &framer.RecordDraws{Router: r.name, Draws: draws})
 		}
 	}
 	go rec.Run(ctx)
