A router that joins after draws were opened is new; nothing counts as drawn by it

Cause: the new gateway found no row of its own, the companions had not run for long, and so it counted all that was undrawn of all budgets as drawn by an earlier process of its name.

Mend: who opens draws writes so with the routers that are counted (eras//.open). A router that is not among them has joined since. Before that, a process that has lived through the change of the era knows which routers there were.

--- a/internal/process/gateway/eras.go
+++ b/internal/process/gateway/eras.go
@@ -82,7 +82,7 @@
 	return &reconciler.Reconciler{
 		Store: g.store, Router: g.Name, FirstStart: g.FirstStart, Table: erasTable, Key: func(router string) string { return g.Schema.RowKey(erasTable, "", router) },
 		Holdings: g.allocator, Counter: &spender.Counter{Table: g.store, BudgetKey: g.budgetKey, HoldingKey: g.holdingKey},
-		Routers: g.listRouters, Limits: g.budgetLimits, HasRows: g.hasHoldings, Fetch: g.fetchDraws,
+		Routers: g.listRouters, Known: g.peers.routerNames, Limits: g.budgetLimits, HasRows: g.hasHoldings, Fetch: g.fetchDraws,
 		OnCounted: func(era storer.Era, router string, method reconciler.Method, tokens int64) {
 			g.metrics.countedTokens.WithLabelValues(string(method)).Add(float64(tokens))
 			logger.DrawsCounted.Log(g.Log, "era", era, "router", router, "method", method, "tokens", tokens)
@@ -107,16 +107,21 @@
 	for _, row := range batch.Rows {
 		g.applyMember(row)
 	}
-	g.peers.mu.Lock()
-	defer g.peers.mu.Unlock()
-	var names []string
-	for _, m := range g.peers.members.All() {
+	return g.peers.routerNames(), nil
+}
+
+// routerNames returns the names of all routers that are known, sorted.
+func (p *peerLinks) routerNames() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := []string{}
+	for _, m := range p.members.All() {
 		if m.Kind == enroller.Router {
 			names = append(names, m.Name)
 		}
 	}
 	slices.Sort(names)
-	return names, nil
+	return names
 }
 
 func (g *Gateway) hasHoldings(ctx context.Context, router string) (bool, error) {
--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -4,7 +4,7 @@
 // The copy lacks what routers have drawn since. Each router that lives adds its own draws to the
 // rows again and says so in a row of the table of eras. For a router that doesn't, another one
 // counts the draws that it has recorded with other processes, and if these records are not
-// complete, all of the budgets. Once all routers are counted, the rows show every token that
+// complete, all of the budgets. A router that has joined since has drawn nothing. Once all routers are counted, the rows show every token that
 // anybody may have, and draws are safe.
 //
 // # Usage
@@ -88,8 +88,10 @@
 	Key      func(router string) string
 	Holdings Holdings
 	Counter  Counter
-	// Routers returns all routers that may have drawn tokens; Limits all budgets' limits.
+	// Routers returns all routers that may have drawn tokens, Known those of them that this process
+	// knows of without asking the store; Limits returns all budgets' limits.
 	Routers func(ctx context.Context) ([]string, error)
+	Known   func() []string
 	Limits  func() map[string]int64
 	// HasRows reports whether the store has rows of a router's holdings.
 	HasRows func(ctx context.Context, router string) (bool, error)
@@ -119,6 +121,8 @@
 	recorded bool
 	// first is set for the first era that this process knows.
 	first bool
+	// known holds the routers that this process knew of when the era began, unless it is first.
+	known []string
 }
 
 // eraRow is a row of the table of eras.
@@ -128,14 +132,27 @@
 	By     string `json:"by"`
 }
 
+// openName stands in place of a router's name in the key of the row that tells that draws are open.
+const openName = ".open"
+
+// openRow tells that draws are open in an era, and which routers are counted. A router that is not
+// among them was in no member's knowledge when the era began, so it has drawn nothing before that.
+type openRow struct {
+	Era     uint64   `json:"era"`
+	Routers []string `json:"routers"`
+}
+
 // SetEra tells the reconciler the store's era. previous is the one before it, or 0 if this is the
 // first one that the process knows.
 func (r *Reconciler) SetEra(era storer.Era, first bool, previous storer.Era) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.current = eraState{era: era, seenAt: time.Now(), lostFor: MaxCopyAge, recorded: first || previous != 0, first: first}
-	if first {
+	switch {
+	case first:
 		r.current.lostFor += MaxUnseen
+	case r.Known != nil:
+		r.current.known = r.Known()
 	}
 	if r.changed != nil {
 		close(r.changed)
@@ -173,18 +190,20 @@
 		if now, _ := r.state(); now.era != state.era {
 			return
 		}
-		missing, routers, err := r.missing(ctx, state.era)
+		look, err := r.look(ctx, state.era)
+		missing := look.missing
 		switch {
 		case err != nil:
 		case len(missing) == 0:
 			r.Holdings.SetCounted(state.era)
+			r.writeOpen(ctx, state.era, look)
 			r.Holdings.OpenDraws(state.era)
 			if r.OnOpen != nil {
 				r.OnOpen(state.era, time.Since(state.seenAt))
 			}
 			return
 		case missing[r.Router] != nil:
-			r.countSelf(ctx, state, *missing[r.Router])
+			r.countSelf(ctx, state, look, *missing[r.Router])
 		default:
 			r.Holdings.SetCounted(state.era)
 			if time.Since(state.seenAt) >= countAfter {
@@ -193,26 +212,44 @@
 				}
 				told = true
 				for router, last := range missing {
-					r.count(ctx, state, router, *last)
+					r.count(ctx, state, look, router, *last)
 				}
 			}
 		}
-		pauser.Pause(ctx, max(pollInterval, time.Duration(routers)*pollPerRouter))
+		pauser.Pause(ctx, max(pollInterval, time.Duration(len(look.routers))*pollPerRouter))
 	}
 }
 
-// missing returns the routers that are not counted in an era, with their rows of earlier eras, and
-// the number of all routers.
-func (r *Reconciler) missing(ctx context.Context, era storer.Era) (missing map[string]*eraRow, routers int, err error) {
+// look is what the table of eras shows.
+type look struct {
+	// missing holds the routers that are not counted, with their rows of earlier eras; routers are
+	// all that may have drawn.
+	missing map[string]*eraRow
+	routers []string
+	// open is the row that tells that draws are open; isOpen is set if it is of this era.
+	open    storer.Row
+	isOpen  bool
+	counted []string
+}
+
+// look reads the table of eras.
+func (r *Reconciler) look(ctx context.Context, era storer.Era) (l look, err error) {
 	batch, err := r.Store.List(ctx, r.Table)
 	if err != nil {
-		return nil, 0, err
+		return look{}, err
 	}
 	if batch.Next.Era != era {
-		return nil, 0, storer.ErrEraChanged
+		return look{}, storer.ErrEraChanged
 	}
 	rows := make(map[string]eraRow)
 	for _, row := range batch.Rows {
+		if row.Key == r.Key(openName) {
+			var w openRow
+			if err := json.Unmarshal(row.Value, &w); err == nil { // another row opens nothing
+				l.open, l.isOpen, l.counted = row, storer.Era(w.Era) == era, w.Routers
+			}
+			continue
+		}
 		var w eraRow
 		if err := json.Unmarshal(row.Value, &w); err == nil { // another row counts nobody
 			rows[row.Key] = w
@@ -220,35 +257,47 @@
 	}
 	names, err := r.Routers(ctx)
 	if err != nil {
-		return nil, 0, err
+		return look{}, err
 	}
 	if !slices.Contains(names, r.Router) {
 		names = append(names, r.Router)
 	}
-	missing = make(map[string]*eraRow)
+	l.routers, l.missing = names, make(map[string]*eraRow)
 	for _, name := range names {
 		if row := rows[r.Key(name)]; storer.Era(row.Era) != era {
-			missing[name] = &row
+			l.missing[name] = &row
 		}
 	}
-	return missing, len(names), nil
+	return l, nil
+}
+
+// writeOpen records that draws are open, unless another router has done so. If it fails, routers that
+// join have less evidence that they are new.
+func (r *Reconciler) writeOpen(ctx context.Context, era storer.Era, l look) {
+	if l.isOpen {
+		return
+	}
+	value, _ := json.Marshal(openRow{Era: uint64(era), Routers: l.routers}) // always encodes
+	c := storer.Commit{Era: era}
+	c.Update(r.Key(openName), l.open.Version, value)
+	_, _ = r.Store.CommitWithReceipt(ctx, c) // see above
 }
 
 // countSelf writes this router's row once its own rows show all that it has drawn.
-func (r *Reconciler) countSelf(ctx context.Context, state eraState, last eraRow) {
+func (r *Reconciler) countSelf(ctx context.Context, state eraState, l look, last eraRow) {
 	rebased, counted := r.Holdings.Rebased(state.era)
 	switch {
 	case counted && rebased:
 		r.write(ctx, state.era, r.Router, Own, 0)
 	case counted:
 	default:
-		r.count(ctx, state, r.Router, last) // for an earlier incarnation
+		r.count(ctx, state, l, r.Router, last) // for an earlier incarnation
 	}
 }
 
 // count counts the draws of a router that can't do so itself. last is the router's row of an
 // earlier era.
-func (r *Reconciler) count(ctx context.Context, state eraState, router string, last eraRow) {
+func (r *Reconciler) count(ctx context.Context, state eraState, l look, router string, last eraRow) {
 	elapsed := time.Since(state.seenAt)
 	draws, completeness := r.Fetch(ctx, router, elapsed+state.lostFor)
 	hasRows, err := r.HasRows(ctx, router)
@@ -259,11 +308,7 @@
 	// just before this era.
 	countedBefore := !(state.era - 1).Restored() || (storer.Era(last.Era) == state.era-1 && last.Method == Own)
 	complete := completeness == recorder.Complete && countedBefore && state.recorded
-	// A router without any row has not drawn before the copy, but it may have since.
-	isNew := !hasRows && last.Era == 0 && completeness != recorder.Unreached
-	if isNew && completeness != recorder.Complete {
-		isNew = state.first && r.fleetIsNew(ctx)
-	}
+	isNew := !hasRows && last.Era == 0 && r.isNew(ctx, state, l, router, completeness, elapsed)
 	switch {
 	case complete || isNew:
 		if tokens, err := r.Counter.CountRecorded(ctx, state.era, router, draws); err == nil {
@@ -276,6 +321,30 @@
 	}
 }
 
+// isNew reports whether a router without any row has drawn nothing. Without a row it has not before the
+// copy, but it may have since.
+func (r *Reconciler) isNew(ctx context.Context, state eraState, l look, router string, c recorder.Completeness, elapsed time.Duration) bool {
+	joined := l.joined(router) || state.joined(router)
+	switch {
+	case c == recorder.Unreached:
+		return joined && elapsed >= atMostAfter // records would have told more
+	case c == recorder.Complete || joined:
+		return true
+	default:
+		return state.first && r.fleetIsNew(ctx)
+	}
+}
+
+// joined reports whether a router has joined after draws were opened.
+func (l look) joined(router string) bool {
+	return l.isOpen && !slices.Contains(l.counted, router)
+}
+
+// joined reports whether a router was unknown when the era began, in the knowledge of this process.
+func (s eraState) joined(router string) bool {
+	return s.known != nil && !slices.Contains(s.known, router)
+}
+
 // fleetIsNew reports whether the fleet starts for the first time, with a store that has come back
 // from a copy before. Otherwise a store that has no rows of any router's holdings has lost them.
 func (r *Reconciler) fleetIsNew(ctx context.Context) bool {
--- a/internal/process/reconciler/reconciler_test.go
+++ b/internal/process/reconciler/reconciler_test.go
@@ -56,25 +56,44 @@
 		firstStart   bool
 		previous     storer.Era // 0 for the first era that the process knows
 		want         reconciler.Method
+		// known is set if this process knew the router when the era began; opened if draws are open, with
+		// the router among those counted, or else not.
+		known  bool
+		opened string
 	}{
-		{"its records are complete", recorder.Complete, true, false, 2, reconciler.Recorded},
-		{"some records may be forgotten", recorder.Reached, true, false, 2, reconciler.AtMost},
-		{"too few processes reply", recorder.Unreached, true, false, 2, reconciler.AtMost},
-		{"the fleet is new", recorder.Reached, false, true, 0, reconciler.Recorded},
-		{"the fleet is new, too few processes reply", recorder.Unreached, false, true, 0, reconciler.AtMost},
-		{"the copy is older than the fleet", recorder.Reached, false, false, 0, reconciler.AtMost},
-		{"the copy is older than the fleet, which has just started", recorder.Reached, false, true, 2, reconciler.AtMost},
+		{"its records are complete", recorder.Complete, true, false, 2, reconciler.Recorded, true, ""},
+		{"some records may be forgotten", recorder.Reached, true, false, 2, reconciler.AtMost, true, ""},
+		{"too few processes reply", recorder.Unreached, true, false, 2, reconciler.AtMost, true, ""},
+		{"the fleet is new", recorder.Reached, false, true, 0, reconciler.Recorded, false, ""},
+		{"the fleet is new, too few processes reply", recorder.Unreached, false, true, 0, reconciler.AtMost, false, ""},
+		{"the copy is older than the fleet", recorder.Reached, false, false, 0, reconciler.AtMost, false, ""},
+		{"the copy is older than the fleet, which has just started", recorder.Reached, false, true, 2, reconciler.AtMost, true, ""},
+		{"it has joined since the era began", recorder.Reached, true, false, 2, reconciler.Recorded, false, ""},
+		{"it has joined since, too few processes reply", recorder.Unreached, true, false, 2, reconciler.Recorded, false, ""},
+		{"it has joined since draws were opened", recorder.Reached, true, false, 0, reconciler.Recorded, false, "without"},
+		{"draws were opened with it", recorder.Reached, true, false, 0, reconciler.AtMost, false, "with"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const era = 3
 				store := memory{storer.NewMemory()}
 				store.SetEra(era)
+				if tt.opened != "" {
+					routers := map[string]string{"with": `"self","without rows"`, "without": `"self"`}[tt.opened]
+					c := storer.Commit{Writes: []storer.Write{{Key: "eras/.open", Value: []byte(`{"era":3,"routers":[` + routers + `]}`)}}}
+					assert.NilError(t, store.Commit(t.Context(), c))
+				}
 				methods := make(map[string]reconciler.Method)
 				r := &reconciler.Reconciler{
 					Store: store, Router: "self", FirstStart: tt.firstStart, Table: "eras", Key: func(router string) string { return "eras/" + router },
 					Holdings: holdings{}, Counter: counter{}, Limits: func() map[string]int64 { return nil },
 					Routers: func(context.Context) ([]string, error) { return []string{"self", "without rows"}, nil },
+					Known: func() []string {
+						if tt.known {
+							return []string{"self", "without rows"}
+						}
+						return []string{"self"}
+					},
 					HasRows: func(_ context.Context, router string) (bool, error) { return tt.othersHold && router == "self", nil },
 					Fetch: func(context.Context, string, time.Duration) (map[string]framer.Draw, recorder.Completeness) {
 						return nil, tt.completeness
