A router that has left is counted by its records, whoever counted it before

Cause: its records were believed only if it had counted itself in the era before, which one that is gone can't. So all that was undrawn of all budgets counted as drawn by it.

Ruled out: incomplete records (all companions ran for the whole time, and the first drill from era 0 passes), recorders that can't be reached.

Mend: any count in an era is enough, as the row that tells of it is written after it. The records must reach back to the era that follows the last count, as this process has seen it begin, and the age of a copy before that.

--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -107,17 +107,23 @@
 
 	mu      sync.Mutex // guards all below
 	current eraState
+	// begun holds the eras that this process knows, oldest first.
+	begun   []begin
 	changed chan struct{}
 }
 
+// begin is the earliest time at which an era can have begun, as far as a process knows.
+type begin struct {
+	era storer.Era
+	at  time.Time
+}
+
 // eraState is what is known of an era.
 type eraState struct {
 	era storer.Era
 	// seenAt is when this process saw its first reply.
 	seenAt time.Time
-	// lostFor is how long before seenAt the draws that the store has lost may have been made, and
-	// recorded whether routers have recorded them.
-	lostFor  time.Duration
+	// recorded tells whether routers have recorded the draws that the store has lost.
 	recorded bool
 	// first is set for the first era that this process knows.
 	first bool
@@ -147,12 +153,16 @@
 func (r *Reconciler) SetEra(era storer.Era, first bool, previous storer.Era) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.current = eraState{era: era, seenAt: time.Now(), lostFor: MaxCopyAge, recorded: first || previous != 0, first: first}
+	now := time.Now()
+	r.current = eraState{era: era, seenAt: now, recorded: first || previous != 0, first: first}
 	switch {
 	case first:
-		r.current.lostFor += MaxUnseen
-	case r.Known != nil:
-		r.current.known = r.Known()
+		r.begun = []begin{{era: era, at: now.Add(-MaxUnseen)}}
+	default:
+		r.begun = append(r.begun, begin{era: era, at: now})
+		if r.Known != nil {
+			r.current.known = r.Known()
+		}
 	}
 	if r.changed != nil {
 		close(r.changed)
@@ -299,15 +309,13 @@
 // earlier era.
 func (r *Reconciler) count(ctx context.Context, state eraState, l look, router string, last eraRow) {
 	elapsed := time.Since(state.seenAt)
-	draws, completeness := r.Fetch(ctx, router, elapsed+state.lostFor)
+	age, known := r.lostFor(storer.Era(last.Era))
+	draws, completeness := r.Fetch(ctx, router, age)
 	hasRows, err := r.HasRows(ctx, router)
 	if err != nil {
 		return
 	}
-	// Only if the router itself was counted in the era before do all its lost draws date from
-	// just before this era.
-	countedBefore := !(state.era - 1).Restored() || (storer.Era(last.Era) == state.era-1 && last.Method == Own)
-	complete := completeness == recorder.Complete && countedBefore && state.recorded
+	complete := completeness == recorder.Complete && known && state.recorded
 	isNew := !hasRows && last.Era == 0 && r.isNew(ctx, state, l, router, completeness, elapsed)
 	switch {
 	case complete || isNew:
@@ -321,6 +329,25 @@
 	}
 }
 
+// lostFor returns how long ago draws may have been made that the rows of a router lack, if the router was
+// counted last in a given era, by whatever method. Its rows show all draws up to then, or the row that tells of
+// the count would be lost too. The next era began with a copy that may lack draws of MaxCopyAge. known is not set if
+// this process doesn't know when that was, or if the draws' records may have expired.
+func (r *Reconciler) lostFor(counted storer.Era) (age time.Duration, known bool) {
+	const firstEra = 1 // of which nothing is lost
+	counted = max(counted, firstEra)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, b := range r.begun {
+		if b.era <= counted {
+			continue
+		}
+		age = time.Since(b.at) + MaxCopyAge
+		return age, age <= recorder.KeepFor && (i > 0 || b.era == counted+1)
+	}
+	return MaxCopyAge, false // a newer era has begun
+}
+
 // isNew reports whether a router without any row has drawn nothing. Without a row it has not before the
 // copy, but it may have since.
 func (r *Reconciler) isNew(ctx context.Context, state eraState, l look, router string, c recorder.Completeness, elapsed time.Duration) bool {
