A gateway that stops refuses what can't end before it does

Cause: nothing compared the time left with the time that a request needs.

Ruled out: refusing everything from the start of the stop (short requests can be served while the balancer still sends), the deadline alone (longer than the grace for streams).

Mend: package estimator keeps decaying maxima of the durations by route; from the start of a stop a request that may take longer than is left is refused as not run, with Retry-After and the close.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -47,6 +47,7 @@
 	"github.com/egretroute/egretroute/internal/process/spender"
 	"github.com/egretroute/egretroute/internal/process/storer"
 	"github.com/egretroute/egretroute/internal/request/admitter"
+	"github.com/egretroute/egretroute/internal/request/estimator"
 	"github.com/egretroute/egretroute/internal/request/retrier"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 	"github.com/egretroute/egretroute/internal/version/matcher"
@@ -130,6 +131,9 @@
 	enrolledAt atomic.Pointer[time.Time]
 	metrics    *metrics
 	draining   atomic.Bool
+	// stopsAt is when running requests are cut, nil unless the process stops.
+	stopsAt   atomic.Pointer[time.Time]
+	durations estimator.Estimator
 	// activeRequests counts requests whose headers were read and whose response is not
 	// complete.
 	activeRequests atomic.Int64
@@ -289,13 +293,15 @@
 // requests run.
 func (g *Gateway) shutdown(stopAllocator func()) {
 	startedAt, limits := time.Now(), g.limits.Load()
+	stopsAt := startedAt.Add(limits.ShutdownTimeout - exitTime - tokenReturnTime)
+	g.stopsAt.Store(&stopsAt)
 	g.draining.Store(true)
 	logger.GatewayDraining.Log(g.Log, "router", g.Name, "running", g.tracker.runningCount())
 	time.Sleep(limits.DrainDelay)
 	stopAllocator()
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(limits.ShutdownTimeout-exitTime))
 	defer cancel()
-	finishCtx, cancelFinish := context.WithDeadline(ctx, startedAt.Add(limits.ShutdownTimeout-exitTime-tokenReturnTime))
+	finishCtx, cancelFinish := context.WithDeadline(ctx, stopsAt)
 	defer cancelFinish()
 	var finished atomic.Bool
 	var returnTokens sync.WaitGroup
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretroute/egretroute/internal/process/logger"
+	"github.com/egretroute/egretroute/internal/request/estimator"
 	"github.com/egretroute/egretroute/internal/request/placer"
 	"github.com/egretroute/egretroute/internal/request/splitter"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
@@ -146,6 +147,9 @@
 	if ref := g.admit(out.w, q); ref != nil {
 		return ref
 	}
+	if ref := g.refuseIfStopping(q, time.Now()); ref != nil {
+		return ref
+	}
 	if ref := g.limitConnection(out.w.Header()); ref != nil {
 		return ref
 	}
@@ -167,6 +171,28 @@
 	return g.forward(ctx, out, q)
 }
 
+// stoppingRetryAfter is when a client may return whose request this router can't end any more: at once, to
+// another router.
+const stoppingRetryAfter = 100 * time.Millisecond
+
+// refuseIfStopping refuses a request that can't be expected to end before this router does.
+func (g *Gateway) refuseIfStopping(q *request, now time.Time) *refusal {
+	stopsAt := g.stopsAt.Load()
+	if stopsAt == nil {
+		return nil
+	}
+	longest := q.deadline.Sub(now)
+	if expected, ok := g.durations.Longest(q.route.Name, q.MaxOutputTokens); ok {
+		longest = min(longest, expected)
+	}
+	if now.Add(longest).Before(*stopsAt) {
+		return nil
+	}
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: "router stops before the request would end", retryAfter: stoppingRetryAfter, closeConnection: true,
+	}
+}
+
 // Outcomes of requests, for logs and metrics.
 const (
 	outcomeAnswered     = "answered"
@@ -322,6 +348,8 @@
 	event := logger.RequestEnded
 	if q.outcome != outcomeAnswered {
 		event = logger.RequestNotAnswered
+	} else {
+		g.durations.Observe(q.route.Name, estimator.Sample{First: q.firstByteAfter, Total: time.Since(q.startedAt), Tokens: q.MaxOutputTokens})
 	}
 	event.Log(g.Log, append([]any{
 		"request", q.ID, "digest", q.traits.Digest, "kind", kind, "outcome", q.outcome, "status", q.status, "sentStatus", out.status, "complete", out.complete, "target", q.targetID, "sends", q.attempts,
