Links: a server goes on after an error of Accept

Cause: linker.Server.Serve returned on any error of Accept.

Ruled out: net/http's servers, which retry by themselves.

Mend: a pause that grows up to a second, until the listener is closed; the error is reported as a refused peer.

--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -29,6 +29,9 @@
 	maxConnections    = 1024
 	keepAliveInterval = 5 * time.Second
 	writeTimeout      = 10 * time.Second
+	// minAcceptBackoff and maxAcceptBackoff bound the pause after an error of Accept.
+	minAcceptBackoff = 5 * time.Millisecond
+	maxAcceptBackoff = time.Second
 )
 
 // ErrClosed is returned for calls on a closed link.
@@ -134,7 +137,7 @@
 	Self    Identity
 	Handler Handler
 	Log     *slog.Logger
-	// OnRefused is called for every connection that fails the handshake.
+	// OnRefused is called for every connection that fails the handshake or can't be accepted.
 	OnRefused func(err error)
 
 	mu       sync.Mutex // guards sessions and closed
@@ -144,11 +147,21 @@
 
 // Serve accepts connections until the listener closes.
 func (s *Server) Serve(ln net.Listener) error {
+	backoff := minAcceptBackoff
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return errors.Wrap(err, "accept")
+		case err != nil: // no descriptors are left, or the connection has ended already
+			if s.OnRefused != nil {
+				s.OnRefused(errors.Wrap(err, "accept"))
+			}
+			time.Sleep(backoff)
+			backoff = min(2*backoff, maxAcceptBackoff)
+			continue
 		}
+		backoff = minAcceptBackoff
 		go s.serveConn(conn)
 	}
 }
