Idle connections to targets are closed without another request to their address

Cause: exchanger.Pool looked at an idle connection only when a request to its address took it. Nobody asks for the address of a target that has left.

Ruled out: closing on the news of a removal only; targets also close or send by themselves.

Mend: Pool.Run closes each second those that have expired, were closed or have unread bytes. Bytes in the connection's reader count as unread.

--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -50,6 +50,8 @@
 const (
 	// idleMargin is how long before the target's idle timeout a connection expires.
 	idleMargin = time.Second
+	// sweepInterval is how often idle connections are checked.
+	sweepInterval = time.Second
 	// defaultIdleTimeout applies if the response has no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// keepAliveInterval is the time between TCP keep-alive probes, which detect dead
@@ -235,6 +237,40 @@
 	}
 }
 
+// Run closes idle connections that have expired, that the target has closed or that have received bytes which
+// nobody asked for, until ctx ends. Without it, they hold descriptors until the next request to their address,
+// which never comes if the target has left.
+func (p *Pool) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pauser.Pause(ctx, sweepInterval)
+		p.sweep(time.Now())
+	}
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if c.usable(now) {
+				kept = append(kept, c)
+			} else {
+				_ = c.Close()
+			}
+		}
+		clear(conns[len(kept):])
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// usable reports whether an idle connection may be used for another request.
+func (c *conn) usable(now time.Time) bool {
+	return now.Before(c.expiresAt) && c.reader.Buffered() == 0 && reusable(c.Conn)
+}
+
 // take returns an idle connection that passed the check, or a new one.
 func (p *Pool) take(ctx context.Context, address string, newConnection bool) (*conn, error) {
 	for !newConnection {
@@ -242,7 +278,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expiresAt) && reusable(c.Conn) {
+		if c.usable(time.Now()) {
 			return c, nil
 		}
 		_ = c.Close()
