Reconciler: a process that has not read the members takes no router for new

Cause: a process that starts while an era begins may not have read the members yet, so that it would take routers, its own earlier incarnation too, for ones that have joined since. Found by reading, not seen.

Ruled out: an empty list alone; the list may lack only what was written last.

Mend: the process must find itself among the members.

Before: the new case of TestRouterWithoutRows counts as recorded; after: at most.

--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -163,6 +163,9 @@
 		if r.Known != nil {
 			r.current.known = r.Known()
 		}
+		if !slices.Contains(r.current.known, r.Router) {
+			r.current.known = nil // the members have not been read since this process enrolled
+		}
 	}
 	if r.changed != nil {
 		close(r.changed)
--- a/internal/process/reconciler/reconciler_test.go
+++ b/internal/process/reconciler/reconciler_test.go
@@ -56,8 +56,8 @@
 		firstStart   bool
 		previous     storer.Era // 0 for the first era that the process knows
 		want         reconciler.Method
-		// known is set if this process knew the router when the era began; opened if draws are open, with
-		// the router among those counted, or else not.
+		// known is set if this process knew the router when the era began; opened tells that draws are
+		// open, "with" the router among those counted or "without" it, or that the members are "unread".
 		known  bool
 		opened string
 	}{
@@ -70,6 +70,7 @@
 		{"the copy is older than the fleet, which has just started", recorder.Reached, false, true, 2, reconciler.AtMost, true, ""},
 		{"it has joined since the era began", recorder.Reached, true, false, 2, reconciler.Recorded, false, ""},
 		{"it has joined since, too few processes reply", recorder.Unreached, true, false, 2, reconciler.Recorded, false, ""},
+		{"it is unknown to a process that doesn't know itself", recorder.Reached, true, false, 2, reconciler.AtMost, false, "unread"},
 		{"it has joined since draws were opened", recorder.Reached, true, false, 0, reconciler.Recorded, false, "without"},
 		{"draws were opened with it", recorder.Reached, true, false, 0, reconciler.AtMost, false, "with"},
 	} {
@@ -78,7 +79,7 @@
 				const era = 3
 				store := memory{storer.NewMemory()}
 				store.SetEra(era)
-				if tt.opened != "" {
+				if tt.opened != "" && tt.opened != "unread" {
 					routers := map[string]string{"with": `"self","without rows"`, "without": `"self"`}[tt.opened]
 					c := storer.Commit{Writes: []storer.Write{{Key: "eras/.open", Value: []byte(`{"era":3,"routers":[` + routers + `]}`)}}}
 					assert.NilError(t, store.Commit(t.Context(), c))
@@ -89,7 +90,10 @@
 					Holdings: holdings{}, Counter: counter{}, Limits: func() map[string]int64 { return nil },
 					Routers: func(context.Context) ([]string, error) { return []string{"self", "without rows"}, nil },
 					Known: func() []string {
-						if tt.known {
+						switch {
+						case tt.opened == "unread":
+							return nil
+						case tt.known:
 							return []string{"self", "without rows"}
 						}
 						return []string{"self"}
