TestNeverOverspentAfterACopy: companions are replaced by others

The model had five companions for good, so it couldn't show an overspend by a change of the set of recorders.

--- a/internal/process/spender/eras_sim_test.go
+++ b/internal/process/spender/eras_sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -15,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/process/elector"
+	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/reconciler"
 	"github.com/egretroute/egretroute/internal/process/recorder"
 	"github.com/egretroute/egretroute/internal/process/spender"
@@ -32,9 +33,12 @@
 	routers  []*simRouter
 	switches eraSwitches
 
-	mu        sync.Mutex // guards all below
-	recorders []*recorder.Recorder
-	// cut holds the processes with records that can't be reached.
+	mu sync.Mutex // guards all below
+	// recorders holds the companions by name, those that have ended too; all routers know their
+	// members at once.
+	recorders map[string]*simCompanion
+	members   *elector.Elector
+	// cut holds the companions with records that can't be reached, by number.
 	cut map[int]bool
 	// opened sums up the times from a new era until draws were open, over opens of them.
 	opened time.Duration
@@ -42,20 +46,28 @@
 	atMost int
 }
 
-// recorderPeer is a process with a recorder, which may have started anew since.
+// simCompanion is a host with a companion, which may have started anew since.
+type simCompanion struct {
+	*recorder.Recorder
+	number int
+	ended  bool
+}
+
+// recorderPeer is a companion that records draws.
 type recorderPeer struct {
-	sim *eraSim
-	n   int
+	sim  *eraSim
+	name string
 }
 
 func (p recorderPeer) recorder() (*recorder.Recorder, error) {
 	time.Sleep(2 * time.Millisecond)
 	p.sim.mu.Lock()
 	defer p.sim.mu.Unlock()
-	if p.sim.cut[p.n] {
+	c := p.sim.recorders[p.name]
+	if c.ended || p.sim.cut[c.number] {
 		return nil, storer.ErrUnavailable
 	}
-	return p.sim.recorders[p.n], nil
+	return c.Recorder, nil
 }
 
 // Record implements recorder.Peer.
@@ -76,14 +88,63 @@
 	return r.Fetch(m), nil
 }
 
+// simRecorders is the number of companions at a time.
 const simRecorders = 5
 
-func (s *eraSim) peers() (peers map[string]recorder.Peer, sets []recorder.Set) {
+// peers returns the sets of companions that record a router's draws or have recorded them since a time.
+func (s *eraSim) peers(router string, since time.Time) (peers map[string]recorder.Peer, sets []recorder.Set) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended := func(v elector.Voter) bool { return v.Ended || s.recorders[v.Member.Name].ended }
 	peers = make(map[string]recorder.Peer)
-	for n := range simRecorders {
-		peers[fmt.Sprint(n)] = recorderPeer{sim: s, n: n}
+	for _, elected := range s.members.Sets(router, since) {
+		set := recorder.Set{Quorum: recorder.Quorum{Write: elected.WriteQuorum(ended), Read: elected.ReadQuorum()}}
+		for _, v := range elected.Voters {
+			set.Members = append(set.Members, v.Member.Name)
+			peers[v.Member.Name] = recorderPeer{sim: s, name: v.Member.Name}
+		}
+		sets = append(sets, set)
+	}
+	return peers, sets
+}
+
+// addCompanion starts a companion on a new host.
+func (s *eraSim) addCompanion() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.recorders)
+	name := fmt.Sprint("companion-", n)
+	s.recorders[name] = &simCompanion{Recorder: recorder.New(time.Now), number: n % simRecorders}
+	s.members.Apply(companionRow(name, enroller.Running), time.Now())
+}
+
+func companionRow(name string, state enroller.State) enroller.Member {
+	return enroller.Member{Name: name, Incarnation: name + "@1", Kind: enroller.Companion, State: state}
+}
+
+// replaceCompanion ends a companion for good, with or without a farewell, and starts one on another host.
+func (s *eraSim) replaceCompanion(random *rand.Rand) {
+	s.mu.Lock()
+	var running []string
+	for name, c := range s.recorders {
+		if !c.ended {
+			running = append(running, name)
+		}
+	}
+	slices.Sort(running)
+	name := running[random.IntN(len(running))]
+	s.recorders[name].ended = true
+	if random.IntN(2) == 0 {
+		s.members.Apply(companionRow(name, enroller.Left), time.Now())
+	} else {
+		time.AfterFunc(4*time.Second, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.members.Apply(companionRow(name, enroller.Gone), time.Now())
+		})
 	}
-	return peers, []recorder.Set{recorder.NewSet(slices.Collect(maps.Keys(peers)))}
+	s.mu.Unlock()
+	s.addCompanion()
 }
 
 func (s *eraSim) budgetKey(organisation string) string { return "budgets/" + organisation }
@@ -110,7 +171,7 @@
 			return len(batch.Rows) > 0, err
 		},
 		Fetch: func(ctx context.Context, router string, minAge time.Duration) (map[string]framer.Draw, recorder.Completeness) {
-			peers, sets := s.peers()
+			peers, sets := s.peers(router, time.Now().Add(-minAge))
 			return recorder.Fetch(ctx, peers, sets, router, minAge)
 		},
 		OnCounted: func(_ storer.Era, _ string, method reconciler.Method, _ int64) {
@@ -145,7 +206,7 @@
 	a.Table, h.Table = table, table
 	if !s.switches.noRecords {
 		a.Record = func(ctx context.Context, draws []framer.Draw) error {
-			peers, sets := s.peers()
+			peers, sets := s.peers(r.name, time.Now().Add(-elector.Window))
 			return recorder.Record(ctx, peers, sets, &framer.RecordDraws{Router: r.name, Draws: draws})
 		}
 	}
@@ -167,7 +228,8 @@
 
 // TestNeverOverspentAfterACopy lets the store go away and come back from a copy up to eight
 // seconds old, again and again, also twice within that time, beside lost, late and refused
-// commits, deaths of some or all routers and losses of records. The cost of requests must never
+// commits, deaths of some or all routers, losses of records and, for every other seed, companions that are
+// replaced by others. The cost of requests must never
 // exceed the budget.
 func TestNeverOverspentAfterACopy(t *testing.T) {
 	var mu sync.Mutex // guards the sums
@@ -219,10 +281,13 @@
 	store := &faultyStore{Memory: storer.NewMemory(), random: rand.New(rand.NewPCG(seed, 18))}
 	store.Now = func() time.Duration { return time.Since(began) }
 	store.SetEra(1)
-	s = &eraSim{store: store, switches: switches, cut: make(map[int]bool)}
+	s = &eraSim{
+		store: store, switches: switches, cut: make(map[int]bool), recorders: make(map[string]*simCompanion), members: &elector.Elector{StartedAt: began},
+	}
 	for range simRecorders {
-		s.recorders = append(s.recorders, recorder.New(time.Now))
+		s.addCompanion()
 	}
+	replacements := rand.New(rand.NewPCG(seed, 19))
 	time.Sleep(20 * time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	total := &usage{}
@@ -251,6 +316,9 @@
 			work.Go(func() { r.request(amount, cost, lasts) })
 		}
 		s.injectFaults(ctx, random, step)
+		if seed%2 == 1 && replacements.IntN(100) == 0 {
+			s.replaceCompanion(replacements)
+		}
 		switch {
 		case step == returnAt:
 			copies[random.IntN(len(copies))]()
@@ -298,7 +366,12 @@
 			return // lost records would be counted at most
 		}
 		s.mu.Lock()
-		s.recorders[random.IntN(simRecorders)] = recorder.New(time.Now)
+		number := random.IntN(simRecorders)
+		for _, c := range s.recorders {
+			if c.number == number && !c.ended {
+				c.Recorder = recorder.New(time.Now)
+			}
+		}
 		s.mu.Unlock()
 	case 2, 3:
 		s.mu.Lock()
