--- a/internal/process/gateway/recorders.go
+++ b/internal/process/gateway/recorders.go
@@ -99,17 +99,20 @@
 	peers = make(map[string]recorder.Peer)
 	dialCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	var dials sync.WaitGroup
+	var unlinked []enroller.Member
 	for _, m := range members {
 		peer := g.peers.recorderPeer(m)
 		switch {
 		case m.Name == g.Name:
 			peers[m.Name] = localRecorder{g.recorder}
-			continue
 		case peer != nil:
 			peers[m.Name] = peer
-			continue
+		default:
+			unlinked = append(unlinked, m)
 		}
+	}
+	var dials sync.WaitGroup
+	for _, m := range unlinked {
 		dials.Go(func() {
 			link, err := linker.Dial(dialCtx, m.Address, g.Secret, linker.Identity{Name: g.Name, Incarnation: g.Incarnation})
 			if err != nil {
