TestMemberThatCountsAsGoneEnrollsAgain: the row of a member that others declare gone

Package enroller had no test of its own. The test declares a running process gone, loses its row and lets it leave.

--- /dev/null
+++ b/internal/process/enroller/enroller_test.go
@@ -0,0 +1,77 @@
+package enroller_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/egretroute/egretroute/internal/process/enroller"
+	"github.com/egretroute/egretroute/internal/process/storer"
+)
+
+// read returns the member in a row; ok is not set if there is none.
+func read(t *testing.T, store *storer.Memory, key string) (m enroller.Member, ok bool) {
+	t.Helper()
+	row, err := storer.ReadOne(t.Context(), store, key)
+	assert.NilError(t, err)
+	if row.Value == nil {
+		return m, false
+	}
+	m, err = enroller.Decode(row)
+	assert.NilError(t, err)
+	return m, true
+}
+
+// TestMemberThatCountsAsGoneEnrollsAgain declares a process gone that still runs, and later loses its row.
+// It guards against processes that stay away from the fleet for good, or come back with records that may lack
+// draws.
+func TestMemberThatCountsAsGoneEnrollsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const key, within = "processes//a", 61 * time.Second
+		store := storer.NewMemory()
+		self := enroller.Member{Name: "a", Incarnation: "a@1", Kind: enroller.Companion, Address: "127.0.0.1:1", Domain: "d"}
+		e := &enroller.Enroller{Store: store, Key: key, Self: self}
+		assert.NilError(t, e.Run(t.Context()))
+		rejoins := 0
+		ctx, cancel := context.WithCancel(t.Context())
+		kept := make(chan struct{})
+		go func() {
+			defer close(kept)
+			e.Keep(ctx, func() { rejoins++ })
+		}()
+
+		assert.NilError(t, enroller.Declare(t.Context(), store, key, self, enroller.Gone))
+		m, _ := read(t, store, key)
+		assert.Equal(t, m.State, enroller.Gone)
+		time.Sleep(within)
+		synctest.Wait()
+		m, _ = read(t, store, key)
+		assert.Equal(t, m.State, enroller.Running)
+		assert.Equal(t, m.Joins, 1)
+		assert.Equal(t, rejoins, 1)
+
+		// What others know of the earlier row changes nothing any more.
+		assert.NilError(t, enroller.Declare(t.Context(), store, key, self, enroller.Gone))
+		m, _ = read(t, store, key)
+		assert.Equal(t, m.State, enroller.Running)
+
+		// A row that is lost with a copy is written again, and the records stay.
+		assert.NilError(t, enroller.Delete(t.Context(), store, key, m))
+		_, ok := read(t, store, key)
+		assert.Assert(t, !ok)
+		time.Sleep(within)
+		synctest.Wait()
+		m, _ = read(t, store, key)
+		assert.Equal(t, m.State, enroller.Running)
+		assert.Equal(t, rejoins, 1)
+
+		cancel()
+		<-kept
+		assert.NilError(t, e.Leave(t.Context()))
+		m, _ = read(t, store, key)
+		assert.Equal(t, m.State, enroller.Left)
+	})
+}
