Logs tell a request that is cut from one whose client has left

What operators saw: line 341 says callerGone both when a client leaves and when the gateway closes the connection under a request; a connection closed with a request unread leaves no line; no line says when in a stop a request was taken.

Change: outcome cut with its reason; stoppingMs in 340 and 341; line 379 and egretroute_gateway_unread_connections_total for connections that are closed while a request waits on them.

--- a/internal/connection/budgeter/budgeter.go
+++ b/internal/connection/budgeter/budgeter.go
@@ -49,6 +49,11 @@
 // Kinds lists all kinds.
 var Kinds = []Kind{Connection, Head, Body, Response}
 
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"idle", "receiving", "running"}[s]
+}
+
 // String returns the kind's name.
 func (k Kind) String() string {
 	return [...]string{"connection", "head", "body", "response"}[k]
@@ -306,6 +311,13 @@
 	return h.evicted
 }
 
+// State returns what the connection does.
+func (h *Holder) State() State {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.state
+}
+
 // Close releases all that is held. Further calls do nothing.
 func (h *Holder) Close() {
 	b := h.budget
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -72,6 +72,8 @@
 	// Max is the largest number of open connections; 0 means none.
 	Max    int
 	Limits func() Limits
+	// OnUnread, if set, is called for each connection that is closed while a request waits on it unread.
+	OnUnread func(Unread)
 
 	open atomic.Int64
 	// futileAt is when no quiet connection was found; only Accept uses it.
@@ -297,9 +299,15 @@
 		_ = c.Conn.SetReadDeadline(past)
 		return
 	}
+	c.reportUnread()
 	_ = c.Conn.Close() // net/http notices and calls Close
 }
 
+// Evicted reports whether the connection had to make room or its time was up. c may be nil.
+func (c *Conn) Evicted() bool {
+	return c != nil && c.evicted.Load()
+}
+
 // Close implements net.Conn. After a refusal the descriptor is kept for a while.
 func (c *Conn) Close() error {
 	var err error
@@ -308,6 +316,7 @@
 			go c.linger()
 			return
 		}
+		c.reportUnread()
 		err = c.Conn.Close()
 		c.release()
 	})
@@ -348,5 +357,5 @@
 	if sc, ok := c.Conn.(syscall.Conn); ok {
 		return sc.SyscallConn()
 	}
-	return nil, errors.New("the connection has no descriptor")
+	return nil, errNoDescriptor
 }
--- a/internal/process/gateway/clientconn.go
+++ b/internal/process/gateway/clientconn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,19 +40,6 @@
 // hasLeft reports whether the client has closed the connection. net/http notices it too, but
 // only once its own goroutine runs, which may be late.
 func (c *clientConn) hasLeft() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true // closed by this process
-	}
-	left := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		left = (n == 0 && err == nil) || errors.Is(err, syscall.ECONNRESET)
-	})
-	return left || err != nil
+	_, err := receiver.Peek(c.Conn)
+	return errors.Is(err, receiver.ErrLeft) || errors.Is(err, net.ErrClosed)
 }
--- a/internal/process/gateway/connections.go
+++ b/internal/process/gateway/connections.go
@@ -41,10 +41,15 @@
 // clientListener returns the listener of clients within the budget of memory.
 func (g *Gateway) clientListener() net.Listener {
 	return &receiver.Listener{
-		Listener: g.ClientListener, Budget: g.Budget, Max: int(acceptedShare * float64(g.clients.Max)), Limits: g.clientLimits,
+		Listener: g.ClientListener, Budget: g.Budget, Max: int(acceptedShare * float64(g.clients.Max)), Limits: g.clientLimits, OnUnread: g.onUnread,
 	}
 }
 
+func (g *Gateway) onUnread(u receiver.Unread) {
+	g.metrics.unread.WithLabelValues(u.State.String()).Inc()
+	logger.RequestUnread.Log(g.Log, "state", u.State.String(), "evicted", u.Evicted, "lag", g.currentLag(time.Now()), "stopping", g.draining.Load(), "cutting", g.cutting.Load())
+}
+
 // clientLimits returns the configuration's limits of clients as far as they are smaller than the
 // gateway's own.
 func (g *Gateway) clientLimits() receiver.Limits {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -150,8 +150,11 @@
 	enrolledAt atomic.Pointer[time.Time]
 	metrics    *metrics
 	draining   atomic.Bool
-	// stopsAt is when running requests are cut, nil unless the process stops.
+	// stopBegan is when the process began to stop and stopsAt when running requests are cut, nil unless it stops.
+	stopBegan atomic.Pointer[time.Time]
 	stopsAt   atomic.Pointer[time.Time]
+	// cutting is set once the requests that still run are cut.
+	cutting   atomic.Bool
 	durations estimator.Estimator
 	// activeRequests counts requests whose headers were read and whose response is not
 	// complete.
@@ -333,6 +336,7 @@
 func (g *Gateway) shutdown(stopAllocator func()) {
 	startedAt, limits := time.Now(), g.limits.Load()
 	stopsAt := startedAt.Add(limits.ShutdownTimeout - exitTime - tokenReturnTime)
+	g.stopBegan.Store(&startedAt)
 	g.stopsAt.Store(&stopsAt)
 	g.draining.Store(true)
 	logger.GatewayDraining.Log(g.Log, "router", g.Name, "running", g.tracker.runningCount())
@@ -351,6 +355,7 @@
 	finished.Store(true)
 	returnTokens.Wait()
 	logger.GatewayStopped.Log(g.Log, "router", g.Name, "took", time.Since(startedAt), "cut", g.activeRequests.Load())
+	g.cutting.Store(true)
 	_ = g.clientServer.Close()
 }
 
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -136,11 +136,10 @@
 	out := &clientResponse{w: w, closeDelimited: !r.ProtoAtLeast(1, 1)}
 	ref := g.handle(out, q)
 	switch {
-	case ref == nil:
-		g.logOutcome(out, q)
-	case r.Context().Err() != nil && !ref.readEnded:
-		q.outcome = outcomeDisconnected
+	case ref == nil && q.outcome != outcomeDisconnected:
 		g.logOutcome(out, q)
+	case ref == nil || (r.Context().Err() != nil && !ref.readEnded):
+		g.logDisconnection(out, q)
 	case out.begun():
 		q.outcome = outcomeBroken
 		g.logOutcome(out, q, "reason", ref.reason)
@@ -216,6 +215,7 @@
 	outcomeFailed       = "failed"
 	outcomeBroken       = "broken"
 	outcomeDisconnected = "callerGone"
+	outcomeCut          = "cut"
 )
 
 // admit decodes, routes and authorizes a request and reads its body. It returns a
@@ -351,6 +351,25 @@
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
 
+// logDisconnection logs a request whose connection has ended before its response: this process has cut it, or the
+// client has left.
+func (g *Gateway) logDisconnection(out *clientResponse, q *request) {
+	cause := ""
+	switch {
+	case g.cutting.Load():
+		cause = "router stops"
+	case receiver.Of(q.http.Context()).Evicted():
+		cause = "connection evicted"
+	}
+	if cause == "" {
+		q.outcome = outcomeDisconnected
+		g.logOutcome(out, q)
+		return
+	}
+	q.outcome = outcomeCut
+	g.logOutcome(out, q, "reason", cause)
+}
+
 // logOutcome logs and counts the outcome of a request.
 func (g *Gateway) logOutcome(out *clientResponse, q *request, attrs ...any) {
 	kind, version := "none", uint64(0)
@@ -372,5 +391,14 @@
 		"ms", time.Since(q.startedAt).Milliseconds(), "firstMs", q.firstByteAfter.Milliseconds(), "sentMs", q.lastAttemptAfter.Milliseconds(),
 		"prompt", q.PromptTokens, "wait", int64(q.choice.Wait), "home", q.choice.Preferred, "events", q.deliveredEvents, "limited", q.limitedTargets, "version", version,
 		"organisation", q.organisationName(), "reserved", q.reserved, "cost", q.cost, "lender", q.lenders(),
-	}, attrs...)...)
+	}, append(g.stopAttrs(q), attrs...)...)...)
+}
+
+// stopAttrs returns how long before a request, in milliseconds, the process had begun to stop, if it had.
+func (g *Gateway) stopAttrs(q *request) []any {
+	began := g.stopBegan.Load()
+	if began == nil || q.startedAt.Before(*began) {
+		return nil
+	}
+	return []any{"stoppingMs", q.startedAt.Sub(*began).Milliseconds()}
 }
--- a/internal/process/gateway/metrics.go
+++ b/internal/process/gateway/metrics.go
@@ -35,6 +35,8 @@
 	// tell; countedTokens counts tokens that were counted as drawn after that for other routers.
 	storeEra      prometheus.Gauge
 	countedTokens *prometheus.CounterVec
+	// unread counts the clients' connections that were closed while a request waited on them unread.
+	unread *prometheus.CounterVec
 	// lag is how late the process is, requestLimit the limit of requests in progress, 0 if there is
 	// none.
 	lag          prometheus.Gauge
@@ -95,6 +97,9 @@
 		countedTokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "egretroute_gateway_counted_tokens_total", Help: "Tokens counted as drawn after the store came back from a copy, by method.",
 		}, []string{"method"}),
+		unread: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretroute_gateway_unread_connections_total", Help: "Clients' connections closed while a request waited on them unread, by what they waited for.",
+		}, []string{"state"}),
 		lag: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "egretroute_gateway_lag_seconds", Help: "How late the process has run at most in the last tenth of a second.",
 		}),
@@ -109,7 +114,7 @@
 		}, []string{"phase"}),
 	}
 	if r != nil {
-		r.MustRegister(m.utilisation, m.rotationChanges, m.requests, m.firstByte, m.attempts, m.commits, m.loans, m.movedTokens, m.crashes, m.withdrawals, m.limitChanges, m.limited, m.coldRequests, m.warmups, m.storeEra, m.countedTokens, m.lag, m.requestLimit, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		r.MustRegister(m.utilisation, m.rotationChanges, m.requests, m.firstByte, m.attempts, m.commits, m.loans, m.movedTokens, m.crashes, m.withdrawals, m.limitChanges, m.limited, m.coldRequests, m.warmups, m.storeEra, m.countedTokens, m.unread, m.lag, m.requestLimit, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "egretroute_gateway_client_connections", Help: "Open connections of clients.",
 		}, f.clientConnections), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "egretroute_gateway_limited_targets", Help: "Targets that limit the rate of requests.",
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -120,6 +120,7 @@
 	MemberGone                = Event{376, slog.LevelWarn, "a member can't be reached and is declared gone", "none if it was removed; otherwise check its host and its links"}
 	MemberDeleted             = Event{377, slog.LevelInfo, "row of a member that has ended was deleted", "none"}
 	MemoryShort               = Event{378, slog.LevelWarn, "clients were refused or closed, for want of memory or since they took too long; one line a second", "see docs/OPERATIONS.md, memory"}
+	RequestUnread             = Event{379, slog.LevelWarn, "client's connection is closed while a request waits on it unread", "see state, evicted and lag; docs/OPERATIONS.md"}
 	DomainDrained             = Event{380, slog.LevelInfo, "failure domain is drained: its targets get no new requests", "none; delete the order when the domain is to serve again"}
 	DomainRestored            = Event{381, slog.LevelInfo, "failure domain is no longer drained", "none"}
 	DomainsClosed             = Event{382, slog.LevelWarn, "no target left: some are in drained failure domains or in regions that the request may not go to", "see drained and outside; docs/OPERATIONS.md"}
@@ -143,6 +144,6 @@
 	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	TargetLeaving, TargetPaused, TargetsPaused,
 	ClientConnections, Overload, BudgetCommitFailed, BudgetRowUnreadable, HoldingRecovered, HeartbeatFailed, HeartbeatRecovered, CrashesNotStored, CrashesStored, CrashRowUnreadable, StoreEraKnown, StoreWentBack, HoldingsRebased, DrawsCounted, DrawsWithheld, DrawsOpen, DrawsNotRecorded, StaleReplyDropped, DrawsRecorded, MembersRestored, TargetLimit, TargetLimitUnreadable, TargetsLimited, CauseFound, CauseEnded, CauseRetried,
-	MemberRejoins, MemberLeaves, MemberGone, MemberDeleted, MemoryShort,
+	MemberRejoins, MemberLeaves, MemberGone, MemberDeleted, MemoryShort, RequestUnread,
 	DomainDrained, DomainRestored, DomainsClosed, TargetCold, TargetWarm, LoansGathered, RotationChanged,
 }
