--- a/internal/trial/demonstrator/demonstrator.go
+++ b/internal/trial/demonstrator/demonstrator.go
@@ -72,6 +72,8 @@
 	Organisations []declarer.Organisation
 	FlushInterval time.Duration
 	Log           io.Writer
+	// WrapClientListener, if set, wraps the listeners of routers for clients.
+	WrapClientListener func(*net.TCPListener) net.Listener
 
 	Platform   *storekeeper.Storekeeper
 	Generators []*generator.Generator
@@ -237,6 +239,9 @@
 		Log:       d.log, Registry: prometheus.NewRegistry(),
 		ClientListener: clientListener, OperatorListener: operatorListener, FleetListener: ln,
 	}
+	if tcp, ok := clientListener.(*net.TCPListener); ok && d.WrapClientListener != nil {
+		r.ClientListener = d.WrapClientListener(tcp)
+	}
 	ctx, stop := context.WithCancel(d.ctx)
 	n := &node{
 		name: r.Name, router: r, stop: stop, done: make(chan error, 1),
--- a/internal/trial/demonstrator/demonstrator_test.go
+++ b/internal/trial/demonstrator/demonstrator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/egretroute/egretroute/internal/standin/generator"
+	"github.com/egretroute/egretroute/internal/trial/delayer"
 	"github.com/egretroute/egretroute/internal/trial/demonstrator"
 	"github.com/egretroute/egretroute/internal/trial/loader"
 	"github.com/egretroute/egretroute/internal/version/declarer"
@@ -64,6 +66,54 @@
 	}
 }
 
+// TestStopLosesWhatALateRouterHasNotRead sends requests on kept and on new connections to a router that is late when
+// its leave time ends. Each must be answered, by a refusal if need be.
+func TestStopLosesWhatALateRouterHasNotRead(t *testing.T) {
+	ln := make(chan *delayer.Listener, 1)
+	d := start(t, &demonstrator.Demonstrator{
+		Routers: 1, Engines: 1, WrapClientListener: func(tcp *net.TCPListener) net.Listener {
+			l := &delayer.Listener{TCPListener: tcp}
+			ln <- l
+			return l
+		},
+	}, 10_000_000)
+	late := <-ln
+	send := func(client *http.Client) (status int, err error) {
+		req, err := http.NewRequest(http.MethodGet, d.ClientURL(0)+"/v1/models", nil)
+		assert.NilError(t, err)
+		req.Header.Set("Authorization", "Bearer alpha-key")
+		resp, err := client.Do(req)
+		if err != nil {
+			return 0, err
+		}
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, err
+	}
+	kept := make([]*http.Client, 3)
+	for n := range kept {
+		kept[n] = &http.Client{Transport: &http.Transport{}}
+		status, err := send(kept[n])
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	time.Sleep(50 * time.Millisecond) // until the connections are idle
+	late.SetLate(true)
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.StopRouter(0) }()
+	var requests sync.WaitGroup
+	for n, client := range append(kept, &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}) {
+		requests.Go(func() {
+			status, err := send(client)
+			assert.Check(t, err == nil && (status == http.StatusOK || status == http.StatusServiceUnavailable), "request %d: status %d, %v", n, status, err)
+		})
+	}
+	time.Sleep(1500 * time.Millisecond) // longer than the leave time
+	late.SetLate(false)
+	requests.Wait()
+	assert.NilError(t, <-stopped)
+}
+
 // A router that is shut down while it forwards streams must finish them.
 func TestRouterShutdownFinishesItsStreams(t *testing.T) {
 	d := start(t, &demonstrator.Demonstrator{Routers: 2, Engines: 2}, 10_000_000)
