An idle connection is closed only if no request waits on it

Cause: idle connections were closed, by their timeout, by net/http's, for want of connections or of memory, without a look at whether a request had come. A connection that found no room when it was accepted was closed the same way.

Change: the read that waits decides. The end of an idle connection is a deadline of that read; if bytes wait when it passes, the read goes on, and for a connection that must make room the request is refused with Retry-After. The deadline is set under the lock under which a request begins, so that it never interrupts one. A connection without room refuses the request that it brings.

--- a/internal/connection/budgeter/budgeter.go
+++ b/internal/connection/budgeter/budgeter.go
@@ -151,6 +151,8 @@
 	budget *Budget
 	group  any
 	evict  func()
+	// expire, if set, is called instead of evict when the time of state Idle is up.
+	expire func()
 
 	state   State
 	held    [kinds]int64
@@ -311,6 +313,21 @@
 	return h.evicted
 }
 
+// OnExpired sets what is called, in place of an eviction, each time that the holder is found to have been idle for too long.
+// It may keep its place.
+func (h *Holder) OnExpired(expire func()) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.expire = expire
+}
+
+// Sending reports whether a write to the client runs.
+func (h *Holder) Sending() bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.sending
+}
+
 // State returns what the connection does.
 func (h *Holder) State() State {
 	h.budget.mu.Lock()
@@ -349,9 +366,13 @@
 	var overdue []func()
 	for h := range b.holders {
 		if h.closable() && h.overdue(now) {
+			if h.state == Idle && h.expire != nil { // usual, and not for want of room
+				overdue = append(overdue, h.expire)
+				continue
+			}
 			h.evicted = true
 			overdue = append(overdue, h.evict)
-			if h.state != Idle { // the end of an idle connection is usual
+			if h.state != Idle {
 				b.shortage.Overdue++
 			}
 		}
--- a/internal/connection/limiter/limiter.go
+++ b/internal/connection/limiter/limiter.go
@@ -85,10 +85,20 @@
 		return
 	}
 	for _, excess := range l.record(c, state) {
+		if idle, ok := excess.(idleCloser); ok {
+			idle.CloseIdle()
+			continue
+		}
 		_ = excess.Close() // the server notices, whatever the result
 	}
 }
 
+// idleCloser is a connection that can tell whether a request has come that the server has not read yet.
+type idleCloser interface {
+	// CloseIdle closes the connection unless a request has come.
+	CloseIdle()
+}
+
 // record counts a connection's new state and returns the idle connections to close.
 func (l *Limiter) record(c net.Conn, state http.ConnState) (excess []net.Conn) {
 	l.mu.Lock()
--- a/internal/connection/receiver/body.go
+++ b/internal/connection/receiver/body.go
@@ -46,8 +46,12 @@
 	}
 	c.inBody.Store(true)
 	defer c.inBody.Store(false)
+	c.setPhase(receiving)
 	c.holder.Enter(budgeter.Receiving, deadline)
 	b, err := read(body, length, limit, c.growBody, func(n int64) { c.holder.Release(budgeter.Body, n) })
+	if !c.Evicted() { // otherwise net/http would wait for the rest of the body
+		c.setPhase(running)
+	}
 	c.holder.Enter(budgeter.Running, time.Time{})
 	switch {
 	case errors.Is(err, ErrTooLarge):
--- /dev/null
+++ b/internal/connection/receiver/phase.go
@@ -0,0 +1,89 @@
+package receiver
+
+import (
+	"time"
+
+	"github.com/egretroute/egretroute/internal/connection/budgeter"
+)
+
+// phase is what reads of a connection wait for.
+type phase int
+
+const (
+	// awaiting waits for the first byte of a request, receiving for the rest of its head or body, and running for the
+	// client's next request or its end while a request is handled.
+	awaiting phase = iota
+	receiving
+	running
+)
+
+// phaseOf is the phase in which a holder's state begins.
+var phaseOf = map[budgeter.State]phase{budgeter.Idle: awaiting, budgeter.Receiving: receiving, budgeter.Running: running}
+
+func (c *Conn) setPhase(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = p
+	c.applyDeadline()
+}
+
+// applyDeadline sets the deadline of reads; c.mu must be held. What reads wait for decides under the same lock, so that the
+// end of a connection that awaits a request never interrupts one that has come.
+func (c *Conn) applyDeadline() {
+	deadline := c.deadline
+	if (c.phase == awaiting && c.ending) || (c.phase != running && c.evicted) {
+		deadline = past
+	}
+	_ = c.Conn.SetReadDeadline(deadline) // fails only on a connection that is closed
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	c.applyDeadline()
+	return nil
+}
+
+// extendDeadline lets reads go on after their deadline. It reports false for an evicted connection.
+func (c *Conn) extendDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline, c.ending = time.Time{}, false // the holder's deadline holds on
+	c.applyDeadline()
+	return !c.evicted
+}
+
+// CloseIdle closes the connection unless a request has come. One that was accepted just now is kept for a while.
+func (c *Conn) CloseIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holder.State() != budgeter.Idle && time.Since(c.acceptedAt) < firstRequestTime {
+		return
+	}
+	c.ending = true
+	c.applyDeadline()
+}
+
+// onEvicted ends the read that waits for a request or for the rest of one. A client that doesn't read its response is cut.
+func (c *Conn) onEvicted() {
+	c.mu.Lock()
+	c.evicted = true
+	c.applyDeadline()
+	cut := c.phase == running
+	c.mu.Unlock()
+	if cut && c.holder.Sending() {
+		_ = c.Conn.Close() // net/http notices and calls Close
+	}
+}
+
+// Evicted reports whether the connection had to make room or its time was up. c may be nil.
+func (c *Conn) Evicted() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -8,6 +8,8 @@
 //	srv := &http.Server{ConnState: receiver.ConnState, ...}
 //	go srv.Serve(ln)
 //
+//	left := ln.Drain(ctx) // at the end: all that has come is read, nothing else
+//
 //	conn := receiver.Of(r.Context()) // with ConnContext: receiver.ConnContext
 //	body, err := conn.ReadBody(r.Body, r.ContentLength, limit, deadline)
 package receiver
@@ -19,6 +21,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -75,7 +78,10 @@
 	// OnUnread, if set, is called for each connection that is closed while a request waits on it unread.
 	OnUnread func(Unread)
 
-	open atomic.Int64
+	// ended is set once Accept has failed, after which no connection is added.
+	ended atomic.Bool
+	mu    sync.Mutex // guards conns
+	conns map[*Conn]struct{}
 	// futileAt is when no quiet connection was found; only Accept uses it.
 	futileAt time.Time
 }
@@ -85,33 +91,58 @@
 	for {
 		nc, err := l.Listener.Accept()
 		if err != nil {
+			l.ended.Store(true)
 			return nil, err
 		}
 		if conn := l.admit(nc); conn != nil {
 			return conn, nil
 		}
-		_ = nc.Close()
+		turnAway(nc)
 		l.Budget.Refuse()
 	}
 }
 
 func (l *Listener) admit(nc net.Conn) net.Conn {
-	if open, near := int(l.open.Load()), int(nearShare*float64(l.Max)); l.Max > 0 && open >= near {
+	if open, near := l.Open(), int(nearShare*float64(l.Max)); l.Max > 0 && open >= near {
 		if open-l.evictSlowest(open-near+1) >= l.Max {
 			return nil
 		}
 	}
-	c := &Conn{Conn: nc, listener: l, limits: l.Limits()}
+	c := &Conn{Conn: nc, listener: l, limits: l.Limits(), acceptedAt: time.Now()}
 	holder, err := l.Budget.Open(l, c.onEvicted)
 	if err != nil {
 		return nil
 	}
 	c.holder = holder
+	holder.OnExpired(c.CloseIdle)
 	c.enter(budgeter.Receiving, c.limits.HeadTimeout)
-	l.open.Add(1)
+	c.setPhase(awaiting)
+	l.add(c)
 	return c
 }
 
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *Listener) add(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		l.conns = make(map[*Conn]struct{})
+	}
+	l.conns[c] = struct{}{}
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
 // evictSlowest evicts at most n quiet connections and returns their number. It doesn't look for them again
 // soon after there were none.
 func (l *Listener) evictSlowest(n int) int {
@@ -133,6 +164,8 @@
 	listener *Listener
 	holder   *budgeter.Holder
 	limits   Limits
+	// acceptedAt is when the connection was accepted.
+	acceptedAt time.Time
 
 	head    Head
 	charged int64
@@ -146,9 +179,16 @@
 	refused atomic.Bool
 	// inBody is set while ReadBody runs: an eviction interrupts it, so that the request can be
 	// refused.
-	inBody  atomic.Bool
-	evicted atomic.Bool
-	closed  sync.Once
+	inBody atomic.Bool
+	closed sync.Once
+
+	mu sync.Mutex // guards all below
+	// phase is what reads wait for. deadline is the one that net/http has set for them; while the connection is to end,
+	// they end at once.
+	phase    phase
+	deadline time.Time
+	ending   bool
+	evicted  bool
 }
 
 // connKey is the key of the Conn in a request's context.
@@ -207,6 +247,7 @@
 	if timeout > 0 {
 		deadline = time.Now().Add(timeout + deadlineSlack)
 	}
+	c.setPhase(phaseOf[s])
 	c.holder.Enter(s, deadline)
 }
 
@@ -216,6 +257,12 @@
 		return 0, readError(errRefused)
 	}
 	n, err := c.Conn.Read(b)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.requestWaits() {
+		if !c.extendDeadline() {
+			return 0, c.refuse(http.StatusServiceUnavailable, "Retry-After: 1\r\n")
+		}
+		n, err = c.Conn.Read(b)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -267,12 +314,17 @@
 	c.refused.Store(true)
 	c.listener.Budget.Refuse()
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
-	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n",
-		status, http.StatusText(status), header) // the client may have left
+	writeRefusal(c.Conn, status, header)
 	_ = c.CloseWrite() // Close follows
 	return readError(errRefused)
 }
 
+// writeRefusal writes a response to a request that was not read to its end.
+func writeRefusal(w io.Writer, status int, header string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n",
+		status, http.StatusText(status), header) // the client may have left
+}
+
 func readError(err error) error {
 	return &net.OpError{Op: "read", Net: "tcp", Err: err}
 }
@@ -284,30 +336,6 @@
 	return c.Conn.Write(b)
 }
 
-// SetReadDeadline implements net.Conn.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	if c.evicted.Load() {
-		t = past
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// onEvicted closes the connection, or ends the read of a body.
-func (c *Conn) onEvicted() {
-	c.evicted.Store(true)
-	if c.inBody.Load() {
-		_ = c.Conn.SetReadDeadline(past)
-		return
-	}
-	c.reportUnread()
-	_ = c.Conn.Close() // net/http notices and calls Close
-}
-
-// Evicted reports whether the connection had to make room or its time was up. c may be nil.
-func (c *Conn) Evicted() bool {
-	return c != nil && c.evicted.Load()
-}
-
 // Close implements net.Conn. After a refusal the descriptor is kept for a while.
 func (c *Conn) Close() error {
 	var err error
@@ -333,7 +361,7 @@
 func (c *Conn) release() {
 	_ = c.Conn.Close() // closed already unless it was refused
 	c.holder.Close()
-	c.listener.open.Add(-1)
+	c.listener.remove(c)
 }
 
 // CloseWrite ends what is sent, as on a TCP connection.
--- a/internal/connection/receiver/unread.go
+++ b/internal/connection/receiver/unread.go
@@ -2,13 +2,24 @@
 
 import (
 	"net"
+	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/egretroute/egretroute/internal/connection/budgeter"
 )
 
+const (
+	// firstRequestTime is how long a connection that was just opened may take to send its request.
+	firstRequestTime = 500 * time.Millisecond
+	// turnAwayTime bounds how long a connection without room holds up those behind it, and turnAwayBytes how much of its
+	// request is read.
+	turnAwayTime  = 5 * time.Millisecond
+	turnAwayBytes = 64 << 10
+)
+
 // ErrLeft is returned by Peek for a connection that its client has closed.
 var ErrLeft = errors.New("the client has closed the connection")
 
@@ -51,6 +62,30 @@
 	return false, nil
 }
 
+// requestWaits reports whether bytes of a request, of its head or before it, wait unread. A deadline that has passed then
+// says that this process is late, not its client.
+func (c *Conn) requestWaits() bool {
+	c.mu.Lock()
+	p := c.phase
+	c.mu.Unlock()
+	if p == running || c.inBody.Load() {
+		return false
+	}
+	unread, _ := Peek(c.Conn)
+	return unread
+}
+
+// turnAway closes a connection for which there is no room. A request that has already come is refused.
+func turnAway(nc net.Conn) {
+	if unread, _ := Peek(nc); unread {
+		now := time.Now()
+		_ = nc.SetDeadline(now.Add(turnAwayTime))
+		_, _ = nc.Read(make([]byte, turnAwayBytes)) // a reset would follow bytes that aren't read, and overtake the refusal
+		writeRefusal(nc, http.StatusServiceUnavailable, "Retry-After: 1\r\n")
+	}
+	_ = nc.Close()
+}
+
 // reportUnread tells the listener of a request that waits unread on a connection that is about to be closed.
 func (c *Conn) reportUnread() {
 	state := c.holder.State()
@@ -58,6 +93,6 @@
 		return
 	}
 	if unread, _ := Peek(c.Conn); unread {
-		c.listener.OnUnread(Unread{State: state, Evicted: c.evicted.Load()})
+		c.listener.OnUnread(Unread{State: state, Evicted: c.Evicted()})
 	}
 }
