A stop reads all that has come, refuses it, and takes nothing after

Cause: a gateway that stops accepted connections until its tokens had been returned and took requests as long as they were expected to end in time. What was read between the last idle moment and the exit was forwarded and cut; the return of tokens takes seconds while the store is away. The product's routers closed their listener and their idle connections with requests unread.

Change: receiver.Listener.Drain. After the drain delay, which is longer than the balancer's two misses, requests are refused as not run with Retry-After 0.1 s. The listener is closed once nothing waits in its backlog, idle connections once nothing waits on them, and the process goes on with its exit when no connection is left. So nothing is decided by how long nothing has happened. Both fleets use it; the product's routers ask for the close while they leave.

--- a/internal/process/gateway/connections.go
+++ b/internal/process/gateway/connections.go
@@ -39,7 +39,7 @@
 }
 
 // clientListener returns the listener of clients within the budget of memory.
-func (g *Gateway) clientListener() net.Listener {
+func (g *Gateway) clientListener() *receiver.Listener {
 	return &receiver.Listener{
 		Listener: g.ClientListener, Budget: g.Budget, Max: int(acceptedShare * float64(g.clients.Max)), Limits: g.clientLimits, OnUnread: g.onUnread,
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -42,7 +42,6 @@
 	"github.com/egretroute/egretroute/internal/process/archiver"
 	"github.com/egretroute/egretroute/internal/process/enroller"
 	"github.com/egretroute/egretroute/internal/process/logger"
-	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/reconciler"
 	"github.com/egretroute/egretroute/internal/process/recorder"
 	"github.com/egretroute/egretroute/internal/process/registrar"
@@ -153,18 +152,19 @@
 	// stopBegan is when the process began to stop and stopsAt when running requests are cut, nil unless it stops.
 	stopBegan atomic.Pointer[time.Time]
 	stopsAt   atomic.Pointer[time.Time]
-	// cutting is set once the requests that still run are cut.
+	// refusing is set once a process that stops takes no more requests, cutting once it closes the connections of those
+	// that still run.
+	refusing  atomic.Bool
 	cutting   atomic.Bool
 	durations estimator.Estimator
 	// activeRequests counts requests whose headers were read and whose response is not
 	// complete.
 	activeRequests atomic.Int64
-	// begunRequests counts requests whose headers were read.
-	begunRequests atomic.Int64
 	// forwarding counts those that are being forwarded to targets or wait for one.
 	forwarding   atomic.Int64
 	feeds        sync.Map // table to feedState
 	clientServer *http.Server
+	listener     *receiver.Listener
 	// clients bounds clients' connections; levelLoggedAt is when its level was last logged.
 	clients       *limiter.Limiter
 	levelLoggedAt atomic.Pointer[time.Time]
@@ -307,7 +307,8 @@
 	defer linkServer.Close()
 	failed := make(chan error, 3)
 	go func() { failed <- linkServer.Serve(g.FleetListener) }()
-	go func() { failed <- g.clientServer.Serve(g.clientListener()) }()
+	g.listener = g.clientListener()
+	go func() { failed <- g.clientServer.Serve(g.listener) }()
 	go func() { failed <- readyServer.Serve(receiver.NewOtherListener(g.ReadyListener, g.Budget)) }()
 	if g.MetricsListener != nil {
 		go g.serveMetrics()
@@ -330,9 +331,8 @@
 	g.limits.Store(&l)
 }
 
-// shutdown waits until the load balancer has noticed, waits for running requests and
-// returns all tokens. Tokens that are already free are returned while the last
-// requests run.
+// shutdown serves until the load balancer has noticed. Then it refuses what still comes, waits for running requests and
+// returns all tokens; those that are already free are returned while the last requests run.
 func (g *Gateway) shutdown(stopAllocator func()) {
 	startedAt, limits := time.Now(), g.limits.Load()
 	stopsAt := startedAt.Add(limits.ShutdownTimeout - exitTime - tokenReturnTime)
@@ -341,43 +341,28 @@
 	g.draining.Store(true)
 	logger.GatewayDraining.Log(g.Log, "router", g.Name, "running", g.tracker.runningCount())
 	time.Sleep(limits.DrainDelay)
+	g.refusing.Store(true)
 	stopAllocator()
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(limits.ShutdownTimeout-exitTime))
 	defer cancel()
-	finishCtx, cancelFinish := context.WithDeadline(ctx, stopsAt)
-	defer cancelFinish()
 	var finished atomic.Bool
 	var returnTokens sync.WaitGroup
 	returnTokens.Go(func() { g.allocator.Close(ctx, finished.Load) })
-	// Connections are accepted to the end: closing the listener resets those that a late process has not accepted yet,
-	// and requests on kept connections may not have been read.
-	g.waitIdle(finishCtx)
+	finishCtx, cancelFinish := context.WithDeadline(ctx, stopsAt)
+	defer cancelFinish()
+	left := g.listener.Drain(finishCtx)
 	finished.Store(true)
 	returnTokens.Wait()
-	logger.GatewayStopped.Log(g.Log, "router", g.Name, "took", time.Since(startedAt), "cut", g.activeRequests.Load())
+	logger.GatewayStopped.Log(g.Log, "router", g.Name, "took", time.Since(startedAt), "cut", g.activeRequests.Load(), "connections", left)
 	g.cutting.Store(true)
 	_ = g.clientServer.Close()
 }
 
-// waitIdle waits until no request has run for drainIdleTime and the process has not been late, or until ctx ends.
-func (g *Gateway) waitIdle(ctx context.Context) {
-	idleSince, begun := time.Now(), g.begunRequests.Load()
-	for ctx.Err() == nil && time.Since(idleSince) < drainIdleTime {
-		if n := g.begunRequests.Load(); n != begun || g.activeRequests.Load() > 0 || g.currentLag(time.Now()) >= checkClientLag {
-			idleSince, begun = time.Now(), n
-		}
-		pauser.Pause(ctx, drainIdleTime/10)
-	}
-}
-
 const (
 	// tokenReturnTime and exitTime are the parts of ShutdownTimeout that are kept for
 	// returning tokens and for the exit of the process.
 	tokenReturnTime = 700 * time.Millisecond
 	exitTime        = 300 * time.Millisecond
-	// drainIdleTime is how long a connection that was just opened may take to send its
-	// request.
-	drainIdleTime = 500 * time.Millisecond
 )
 
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -124,7 +124,6 @@
 // serveRequest handles a client's request.
 func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
-	g.begunRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	q := &request{http: r, startedAt: time.Now(), triedRuns: make(map[string]bool)}
 	if conn, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok {
@@ -185,15 +184,28 @@
 	return g.forward(ctx, out, q)
 }
 
-// stoppingRetryAfter is when a client may return whose request this router can't end any more: at once, to
-// another router.
-const stoppingRetryAfter = 100 * time.Millisecond
+const (
+	// stoppingRetryAfter is when a client may return whose request this router can't end any more: at once, to
+	// another router.
+	stoppingRetryAfter = 100 * time.Millisecond
+	// stoppedReason is the reason of what a stop has ended.
+	stoppedReason = "router stops"
+)
 
-// refuseIfStopping refuses a request that can't be expected to end before this router does.
+// stoppedRefusal returns the refusal of a request that this router has no time left for.
+func stoppedRefusal() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: stoppedReason, retryAfter: stoppingRetryAfter, closeConnection: true}
+}
+
+// refuseIfStopping refuses a request that can't be expected to end before this router does, and any that comes after the
+// load balancer must have noticed the stop.
 func (g *Gateway) refuseIfStopping(q *request, now time.Time) *refusal {
 	stopsAt := g.stopsAt.Load()
-	if stopsAt == nil {
+	switch {
+	case stopsAt == nil:
 		return nil
+	case g.refusing.Load():
+		return stoppedRefusal()
 	}
 	longest := q.deadline.Sub(now)
 	if expected, ok := g.durations.Longest(q.route.Name, q.MaxOutputTokens, now); ok {
@@ -357,7 +369,7 @@
 	cause := ""
 	switch {
 	case g.cutting.Load():
-		cause = "router stops"
+		cause = stoppedReason
 	case receiver.Of(q.http.Context()).Evicted():
 		cause = "connection evicted"
 	}
--- a/internal/process/router/client_api.go
+++ b/internal/process/router/client_api.go
@@ -50,6 +50,9 @@
 func (r *Router) serveRequest(w http.ResponseWriter, req *http.Request, parse func(*clientRequest, *declarer.Fleet) error) {
 	start := time.Now()
 	fleet := r.follower.Fleet()
+	if r.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if fleet == nil || r.draining.Load() {
 		writeRefusal(w, "", &result{outcome: framer.OutcomeNotRun, reason: "not-ready", retryAfter: time.Second})
 		return
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -157,13 +157,15 @@
 		ConnState: receiver.ConnState, ConnContext: receiver.ConnContext,
 	}
 	served := make(chan error, 1)
-	go func() { served <- clientServer.Serve(r.clientListener()) }()
+	ln := r.clientListener()
+	go func() { served <- clientServer.Serve(ln) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve clients")
 	case <-ctx.Done():
 	}
-	return r.shutdown(clientServer)
+	defer clientServer.Close()
+	return r.shutdown(ln)
 }
 
 // build creates the components of the router.
@@ -205,7 +207,7 @@
 }
 
 // clientListener returns the listener of clients within the budget of memory.
-func (r *Router) clientListener() net.Listener {
+func (r *Router) clientListener() *receiver.Listener {
 	bound := int(clientDescriptorShare * float64(r.MaxDescriptors))
 	if byMemory := r.Budget.MaxConnections(); byMemory > 0 && (bound == 0 || byMemory < bound) {
 		bound = byMemory
@@ -277,17 +279,17 @@
 	r.treasury.OpenAccounts(names)
 }
 
-// shutdown drains the router: it serves new requests for LeaveTime, waits for the
+// shutdown drains the router: it serves new requests for LeaveTime, refuses later ones, waits for the
 // requests in flight, up to ShutdownLimit, settles and returns the tokens.
-func (r *Router) shutdown(clientServer *http.Server) error {
+func (r *Router) shutdown(ln *receiver.Listener) error {
 	logger.RouterDraining.Log(r.Log, "router", r.Name)
 	r.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), r.ShutdownLimit)
 	defer cancel()
 	sleep(ctx, r.LeaveTime)
 	r.draining.Store(true)
-	if err := clientServer.Shutdown(ctx); err != nil {
-		logger.RouterStopIncomplete.Log(r.Log, "router", r.Name, "error", err)
+	if left := ln.Drain(ctx); left > 0 {
+		logger.RouterStopIncomplete.Log(r.Log, "router", r.Name, "left", left)
 	}
 	r.auditor.resolveAll(ctx)
 	err := r.treasury.Stop(ctx)
