Requests that outlast a stop are answered

Cause: what still ran when the time of a stop was over was cut by the close of its connection, whether its response had begun or not; the product's routers kept no time for that, for settling or for returning tokens.

Change: shortly before the end the requests that still run are ended as those are whose time is up. A router that has asked an agent to cancel aborts the stream after the grace: Close leaves the read waiting, so that an order was waited for beyond its deadline.

--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -106,7 +106,7 @@
 		return zero, err
 	}
 	defer s.Close()
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = s.Abort() })
 	defer stop()
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = s.conn.SetDeadline(deadline)
@@ -133,6 +133,12 @@
 	return s.conn.Close()
 }
 
+// Abort closes the stream and ends a read that waits for the other end, which Close leaves waiting.
+func (s *Stream) Abort() error {
+	err := s.conn.SetReadDeadline(time.Now())
+	return cmp.Or(s.conn.Close(), err)
+}
+
 // Handler serves incoming streams; first is the first message of the stream.
 type Handler interface {
 	ServeStream(s *Stream, first any)
--- a/internal/process/gateway/forward.go
+++ b/internal/process/gateway/forward.go
@@ -58,7 +58,7 @@
 	shape := q.shape(g.Domain)
 	for dialFailures := 0; dialFailures <= maxDialFailures; {
 		now := time.Now()
-		if q.deadline.Sub(now) < minAttemptTime {
+		if q.deadline.Sub(now) < minAttemptTime || ctx.Err() != nil {
 			return timedOut(q)
 		}
 		if g.clientHasLeft(q) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -154,9 +154,13 @@
 	stopsAt   atomic.Pointer[time.Time]
 	// refusing is set once a process that stops takes no more requests, cutting once it closes the connections of those
 	// that still run.
-	refusing  atomic.Bool
-	cutting   atomic.Bool
-	durations estimator.Estimator
+	refusing atomic.Bool
+	cutting  atomic.Bool
+	// running ends when endRunning is called, shortly before: requests that a target runs are then answered as such whose
+	// time is up.
+	running    context.Context
+	endRunning context.CancelFunc
+	durations  estimator.Estimator
 	// activeRequests counts requests whose headers were read and whose response is not
 	// complete.
 	activeRequests atomic.Int64
@@ -270,6 +274,8 @@
 		StockRank: g.stockRank, SharesStocks: g.sharesStocks, Record: g.recordDraws, OnRebased: g.onRebased,
 	}
 	g.reconciler = g.newReconciler()
+	g.running, g.endRunning = context.WithCancel(context.WithoutCancel(ctx))
+	defer g.endRunning()
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	g.workers.Go(func() { g.followConfiguration(workCtx) })
@@ -348,9 +354,7 @@
 	var finished atomic.Bool
 	var returnTokens sync.WaitGroup
 	returnTokens.Go(func() { g.allocator.Close(ctx, finished.Load) })
-	finishCtx, cancelFinish := context.WithDeadline(ctx, stopsAt)
-	defer cancelFinish()
-	left := g.listener.Drain(finishCtx)
+	left := g.drainClients(ctx, stopsAt)
 	finished.Store(true)
 	returnTokens.Wait()
 	logger.GatewayStopped.Log(g.Log, "router", g.Name, "took", time.Since(startedAt), "cut", g.activeRequests.Load(), "connections", left)
@@ -358,11 +362,28 @@
 	_ = g.clientServer.Close()
 }
 
+// drainClients waits until all clients' connections have ended, and from stopsAt on ends the requests that still run. It
+// returns the number of connections that are left.
+func (g *Gateway) drainClients(ctx context.Context, stopsAt time.Time) int {
+	finishCtx, cancel := context.WithDeadline(ctx, stopsAt)
+	defer cancel()
+	left := g.listener.Drain(finishCtx)
+	if left == 0 {
+		return 0
+	}
+	g.endRunning()
+	answerCtx, cancelAnswers := context.WithTimeout(ctx, answerTime)
+	defer cancelAnswers()
+	return g.listener.Drain(answerCtx)
+}
+
 const (
 	// tokenReturnTime and exitTime are the parts of ShutdownTimeout that are kept for
 	// returning tokens and for the exit of the process.
 	tokenReturnTime = 700 * time.Millisecond
 	exitTime        = 300 * time.Millisecond
+	// answerTime is the part of tokenReturnTime in which requests that are ended get their answers.
+	answerTime = 300 * time.Millisecond
 )
 
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -139,9 +139,14 @@
 		g.logOutcome(out, q)
 	case ref == nil || (r.Context().Err() != nil && !ref.readEnded):
 		g.logDisconnection(out, q)
+	case out.begun() && g.ended():
+		q.outcome = outcomeCut
+		g.logOutcome(out, q, "reason", stoppedReason)
 	case out.begun():
 		q.outcome = outcomeBroken
 		g.logOutcome(out, q, "reason", ref.reason)
+	case g.ended():
+		g.refuse(out, q, stoppedRefusal(q))
 	default:
 		g.refuse(out, q, ref)
 	}
@@ -175,6 +180,7 @@
 	}
 	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.running, cancel)()
 	if ref := g.reserve(ctx, q); ref != nil {
 		return ref
 	}
@@ -193,10 +199,18 @@
 )
 
 // stoppedRefusal returns the refusal of a request that this router has no time left for.
-func stoppedRefusal() *refusal {
+func stoppedRefusal(q *request) *refusal {
+	if q.mayHaveRun {
+		return &refusal{status: http.StatusGatewayTimeout, reason: stoppedReason, closeConnection: true}
+	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: stoppedReason, retryAfter: stoppingRetryAfter, closeConnection: true}
 }
 
+// ended reports whether the requests that still ran have been ended.
+func (g *Gateway) ended() bool {
+	return g.running != nil && g.running.Err() != nil
+}
+
 // refuseIfStopping refuses a request that can't be expected to end before this router does, and any that comes after the
 // load balancer must have noticed the stop.
 func (g *Gateway) refuseIfStopping(q *request, now time.Time) *refusal {
@@ -205,7 +219,7 @@
 	case stopsAt == nil:
 		return nil
 	case g.refusing.Load():
-		return stoppedRefusal()
+		return stoppedRefusal(q)
 	}
 	longest := q.deadline.Sub(now)
 	if expected, ok := g.durations.Longest(q.route.Name, q.MaxOutputTokens, now); ok {
--- a/internal/process/router/attempt.go
+++ b/internal/process/router/attempt.go
@@ -160,11 +160,11 @@
 	idleTimer *time.Timer
 }
 
-// cancel asks the agent to stop the attempt, and closes the stream after
+// cancel asks the agent to stop the attempt, and aborts the stream after
 // cancelGrace in case the agent does not reply.
 func (rr *responseReader) cancel() {
 	_ = rr.stream.Write(&framer.Cancel{Attempt: rr.run.Attempt})
-	time.AfterFunc(cancelGrace, func() { _ = rr.stream.Close() })
+	time.AfterFunc(cancelGrace, func() { _ = rr.stream.Abort() })
 }
 
 // receive reads frames until the attempt's End; frames of other attempts are dropped.
--- a/internal/process/router/execute.go
+++ b/internal/process/router/execute.go
@@ -30,6 +30,7 @@
 func (r *Router) execute(ctx context.Context, creq *clientRequest, resp *clientResponse) *result {
 	ctx, cancel := context.WithDeadline(ctx, creq.deadline)
 	defer cancel()
+	defer context.AfterFunc(r.running, cancel)()
 	total := &result{outcome: framer.OutcomeNotRun, reason: reasonNoTarget, retryAfter: jitter(defaultRetryAfter)}
 	tried := make(map[string]bool)
 	var parts []framer.Part
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -122,14 +122,19 @@
 	built        atomic.Bool // the components above have been created
 	// leaving is set from the beginning of a shutdown, draining once no more requests
 	// are served.
-	leaving      atomic.Bool
-	draining     atomic.Bool
+	leaving  atomic.Bool
+	draining atomic.Bool
+	// running ends when endRunning is called, shortly before the end of a shutdown: requests that still run are then answered.
+	running      context.Context
+	endRunning   context.CancelFunc
 	stuckHolders atomic.Pointer[[]recoverer.StuckHolder]
 }
 
 // Run serves until ctx ends, then finishes the requests in flight, settles their
 // bills, returns its tokens and closes its incarnation.
 func (r *Router) Run(ctx context.Context) error {
+	r.running, r.endRunning = context.WithCancel(context.WithoutCancel(ctx))
+	defer r.endRunning()
 	r.build()
 	r.built.Store(true)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -288,9 +293,7 @@
 	defer cancel()
 	sleep(ctx, r.LeaveTime)
 	r.draining.Store(true)
-	if left := ln.Drain(ctx); left > 0 {
-		logger.RouterStopIncomplete.Log(r.Log, "router", r.Name, "left", left)
-	}
+	r.drainClients(ctx, ln)
 	r.auditor.resolveAll(ctx)
 	err := r.treasury.Stop(ctx)
 	if err != nil {
@@ -305,6 +308,30 @@
 	return err
 }
 
+const (
+	// answerTime is how long requests that are ended may take to be answered: agents have cancelGrace.
+	answerTime = cancelGrace + 500*time.Millisecond
+	// settleTime is the part of ShutdownLimit that is kept for settling bills and returning tokens.
+	settleTime = 500 * time.Millisecond
+)
+
+// drainClients waits until all clients' connections have ended, and ends the requests that still run shortly before ctx
+// does.
+func (r *Router) drainClients(ctx context.Context, ln *receiver.Listener) {
+	deadline, _ := ctx.Deadline()
+	answerBy := deadline.Add(-settleTime)
+	finishCtx, cancel := context.WithDeadline(ctx, answerBy.Add(-answerTime))
+	defer cancel()
+	left := ln.Drain(finishCtx)
+	if left == 0 {
+		return
+	}
+	r.endRunning()
+	answerCtx, cancelAnswers := context.WithDeadline(ctx, answerBy)
+	defer cancelAnswers()
+	logger.RouterStopIncomplete.Log(r.Log, "router", r.Name, "ended", left, "left", ln.Drain(answerCtx))
+}
+
 func (r *Router) setStuckHolders(holders []recoverer.StuckHolder) {
 	r.stuckHolders.Store(&holders)
 	var held int64
--- a/internal/trial/demonstrator/demonstrator.go
+++ b/internal/trial/demonstrator/demonstrator.go
@@ -11,6 +11,7 @@
 package demonstrator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -72,6 +73,8 @@
 	Organisations []declarer.Organisation
 	FlushInterval time.Duration
 	Log           io.Writer
+	// ShutdownLimit bounds the shutdown of a router; 20 s if it is 0.
+	ShutdownLimit time.Duration
 	// WrapClientListener, if set, wraps the listeners of routers for clients.
 	WrapClientListener func(*net.TCPListener) net.Listener
 
@@ -234,7 +237,7 @@
 	r := &router.Router{
 		Name: routerName(i), Domain: fmt.Sprintf("domain-%d", i+1), FleetAddress: ln.Addr().String(), Peers: peers,
 		Secret: []byte(secret), Table: d.table(), Policy: spender.NewProportional(0.05, spender.DefaultTrendFactor),
-		FlushInterval: d.FlushInterval, LeaveTime: leaveTime, ShutdownLimit: shutdownLimit,
+		FlushInterval: d.FlushInterval, LeaveTime: leaveTime, ShutdownLimit: cmp.Or(d.ShutdownLimit, shutdownLimit),
 		Operators: []router.Operator{{Name: "demo", KeyHash: declarer.HashKey(OperatorKey)}},
 		Log:       d.log, Registry: prometheus.NewRegistry(),
 		ClientListener: clientListener, OperatorListener: operatorListener, FleetListener: ln,
--- a/internal/trial/demonstrator/demonstrator_test.go
+++ b/internal/trial/demonstrator/demonstrator_test.go
@@ -114,6 +114,37 @@
 	assert.NilError(t, <-stopped)
 }
 
+// TestOrderHasNoAnswerAtTheEndOfAStop stops a router during an order that lasts longer than the stop. Its client must be
+// told before the router has stopped that it may have run.
+func TestOrderHasNoAnswerAtTheEndOfAStop(t *testing.T) {
+	d := start(t, &demonstrator.Demonstrator{Routers: 1, Services: 1, OrderTime: 8 * time.Second, ShutdownLimit: 4 * time.Second}, 10_000_000)
+	answered := make(chan string, 1)
+	go func() {
+		req, err := http.NewRequest(http.MethodPost, d.ClientURL(0)+"/services/"+demonstrator.Service+"/orders", strings.NewReader("{}"))
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		req.Header.Set("Authorization", "Bearer alpha-key")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		answered <- fmt.Sprint(resp.Header.Get("Egretroute-Outcome"), " ", err)
+	}()
+	time.Sleep(300 * time.Millisecond)
+	assert.NilError(t, d.StopRouter(0))
+	select {
+	case got := <-answered:
+		assert.Assert(t, got == "unknown <nil>" || got == "failed-after-start <nil>", got)
+	default:
+		t.Fatal("no answer before the router has stopped")
+	}
+}
+
 // A router that is shut down while it forwards streams must finish them.
 func TestRouterShutdownFinishesItsStreams(t *testing.T) {
 	d := start(t, &demonstrator.Demonstrator{Routers: 2, Engines: 2}, 10_000_000)
