--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -142,7 +142,8 @@
 	defer archiving.Wait()
 	defer stop()
 	operatorServer := receiver.NewOtherServer(r.operatorAPI())
-	go func() { _ = operatorServer.Serve(receiver.NewOtherListener(r.OperatorListener, r.Budget)) }()
+	operators := receiver.NewOtherListener(r.OperatorListener, r.Budget)
+	go func() { _ = operatorServer.Serve(operators) }()
 	go r.Budget.Run(background)
 	defer operatorServer.Close()
 	r.treasury.Start(background)
@@ -170,7 +171,7 @@
 	case <-ctx.Done():
 	}
 	defer clientServer.Close()
-	return r.shutdown(ln)
+	return r.shutdown(ln, operators)
 }
 
 // build creates the components of the router.
@@ -286,14 +287,17 @@
 
 // shutdown drains the router: it serves new requests for LeaveTime, refuses later ones, waits for the
 // requests in flight, up to ShutdownLimit, settles and returns the tokens.
-func (r *Router) shutdown(ln *receiver.Listener) error {
+func (r *Router) shutdown(clients, operators *receiver.Listener) error {
 	logger.RouterDraining.Log(r.Log, "router", r.Name)
 	r.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), r.ShutdownLimit)
 	defer cancel()
 	sleep(ctx, r.LeaveTime)
 	r.draining.Store(true)
-	r.drainClients(ctx, ln)
+	r.drainClients(ctx, clients)
+	operatorCtx, cancelOperators := context.WithTimeout(ctx, settleTime)
+	operators.Drain(operatorCtx)
+	cancelOperators()
 	r.auditor.resolveAll(ctx)
 	err := r.treasury.Stop(ctx)
 	if err != nil {
