Idle connections are kept up to the newest limit

What callers saw: clients reuse a connection that has been idle for up to four fifths of the newest limit. Where the operator had raised it, a connection that was idle meanwhile was still closed after the earlier one, also with a request on its way.

Cause: the deadline was set when the connection became idle and not looked at again.

--- a/internal/connection/receiver/phase.go
+++ b/internal/connection/receiver/phase.go
@@ -24,6 +24,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
+	if p == awaiting {
+		c.idleSince = time.Now()
+	}
 	c.applyDeadline()
 }
 
@@ -66,6 +69,18 @@
 	c.applyDeadline()
 }
 
+// onExpired closes the connection if it has been idle for longer than the limit that holds now: it may have been raised
+// since, and clients go by the newest.
+func (c *Conn) onExpired() {
+	limit := c.listener.Limits().IdleTimeout
+	c.mu.Lock()
+	idle := time.Since(c.idleSince)
+	c.mu.Unlock()
+	if limit > 0 && idle >= limit+deadlineSlack {
+		c.CloseIdle()
+	}
+}
+
 // onEvicted ends the read that waits for a request or for the rest of one. A client that doesn't read its response is cut.
 func (c *Conn) onEvicted() {
 	c.mu.Lock()
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -114,7 +114,7 @@
 		return nil
 	}
 	c.holder = holder
-	holder.OnExpired(c.CloseIdle)
+	holder.OnExpired(c.onExpired)
 	c.enter(budgeter.Receiving, c.limits.HeadTimeout)
 	c.setPhase(awaiting)
 	l.add(c)
@@ -183,12 +183,13 @@
 	closed sync.Once
 
 	mu sync.Mutex // guards all below
-	// phase is what reads wait for. deadline is the one that net/http has set for them; while the connection is to end,
+	// phase is what reads wait for, idleSince when they last began to wait for a request. deadline is the one that net/http has set for them; while the connection is to end,
 	// they end at once.
-	phase    phase
-	deadline time.Time
-	ending   bool
-	evicted  bool
+	phase     phase
+	idleSince time.Time
+	deadline  time.Time
+	ending    bool
+	evicted   bool
 }
 
 // connKey is the key of the Conn in a request's context.
--- a/internal/connection/receiver/unread_test.go
+++ b/internal/connection/receiver/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -65,3 +66,32 @@
 		})
 	}
 }
+
+// TestIdleLimitIsRaised raises the limit of idle connections while one is idle. It was closed after the earlier limit.
+func TestIdleLimitIsRaised(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &server{address: tcp.Addr().String(), budget: &budgeter.Budget{}, bodyTime: time.Minute}
+	var idle atomic.Int64
+	idle.Store(int64(100 * time.Millisecond))
+	ln := &receiver.Listener{Listener: tcp, Budget: s.budget, Limits: func() receiver.Limits {
+		return receiver.Limits{HeadBytes: headBytes, HeadTimeout: time.Minute, IdleTimeout: time.Duration(idle.Load())}
+	}}
+	srv := &http.Server{Handler: s, ConnState: receiver.ConnState, ConnContext: receiver.ConnContext}
+	go func() { _ = srv.Serve(ln) }() // ends with Close
+	go s.budget.Run(t.Context())
+	t.Cleanup(func() { _ = srv.Close() })
+	kept, closed := s.dial(t), s.dial(t)
+	for _, c := range []*client{kept, closed} {
+		c.send(fmt.Sprintf(post, 1, "") + "a")
+		assert.Equal(t, c.receive().body, "1")
+	}
+	time.Sleep(50 * time.Millisecond) // until the connections are idle
+	idle.Store(int64(4 * time.Second))
+	time.Sleep(3 * time.Second) // several sweeps after the earlier limit
+	kept.send(fmt.Sprintf(post, 2, "") + "bb")
+	assert.Equal(t, kept.receive().body, "2")
+	_, err = closed.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Assert(t, ln.Open() == 1, "%d connections are open", ln.Open())
+}
