--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -106,11 +106,11 @@
 		return zero, err
 	}
 	defer s.Close()
-	stop := context.AfterFunc(ctx, func() { _ = s.Abort() })
-	defer stop()
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = s.conn.SetDeadline(deadline)
 	}
+	stop := context.AfterFunc(ctx, func() { _ = s.Abort() }) // after the deadline, which would replace its own
+	defer stop()
 	if err := s.Write(request); err != nil {
 		return zero, err
 	}
--- a/internal/connection/receiver/drain.go
+++ b/internal/connection/receiver/drain.go
@@ -14,7 +14,8 @@
 
 // Drain ends the listener and its connections without losing a request. It accepts all connections that wait and then
 // closes the listener; it closes connections on which no request has come, and waits until the others have been closed
-// after their response, or until ctx ends. It returns the number of connections that are still open.
+// after their response, or until ctx ends. Requests that don't come to their end are given up after restTime, if the server's
+// handler is a Handler. It returns the number of connections that are still open.
 func (l *Listener) Drain(ctx context.Context) int {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
@@ -22,8 +23,9 @@
 		if !l.backlogged() {
 			_ = l.Close()
 		}
+		ended := l.ended.Load() // before the connections are counted
 		open := l.closeIdle()
-		if open == 0 && l.ended.Load() {
+		if open == 0 && ended {
 			return 0
 		}
 		select {
@@ -45,11 +47,13 @@
 	l.mu.Unlock()
 	for _, c := range conns {
 		c.CloseIdle()
+		c.giveUp()
 	}
 	return len(conns)
 }
 
-// backlogged reports whether connections wait to be accepted. Closing the listener resets them.
+// backlogged reports whether connections wait to be accepted, as far as the listener has a descriptor. Closing it resets
+// them.
 func (l *Listener) backlogged() bool {
 	sc, ok := l.Listener.(syscall.Conn)
 	if !ok {
--- a/internal/connection/receiver/phase.go
+++ b/internal/connection/receiver/phase.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/egretroute/egretroute/internal/connection/budgeter"
@@ -23,9 +24,9 @@
 func (c *Conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = p
-	if p == awaiting {
-		c.idleSince = time.Now()
+	c.phase, c.phaseSince = p, time.Now()
+	if p != awaiting {
+		c.ending = false
 	}
 	c.applyDeadline()
 }
@@ -34,12 +35,49 @@
 // end of a connection that awaits a request never interrupts one that has come.
 func (c *Conn) applyDeadline() {
 	deadline := c.deadline
-	if (c.phase == awaiting && c.ending) || (c.phase != running && c.evicted) {
+	if (c.phase == awaiting && c.ending) || (c.evicted && (c.phase != running || c.afterHandler())) {
 		deadline = past
 	}
 	_ = c.Conn.SetReadDeadline(deadline) // fails only on a connection that is closed
 }
 
+// afterHandler reports whether a request has been handled and none is; c.mu must be held. net/http may still wait for the
+// rest of a body.
+func (c *Conn) afterHandler() bool {
+	return c.handled && !c.handling
+}
+
+// Handler tells connections while h handles a request.
+func Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := Of(r.Context())
+		c.setHandling(true)
+		defer c.setHandling(false)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (c *Conn) setHandling(handling bool) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling, c.handled, c.phaseSince = handling, true, time.Now()
+	c.applyDeadline()
+}
+
+// giveUp ends a connection that has waited for the rest of a request for restTime; one whose head has begun is refused.
+func (c *Conn) giveUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted || time.Since(c.phaseSince) < restTime || c.phase == awaiting || (c.phase == running && !c.afterHandler()) {
+		return
+	}
+	c.evicted, c.givenUp = true, true
+	c.applyDeadline()
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -62,7 +100,7 @@
 func (c *Conn) CloseIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.holder.State() != budgeter.Idle && time.Since(c.acceptedAt) < firstRequestTime {
+	if c.phase != awaiting || c.ending || (c.holder.State() != budgeter.Idle && time.Since(c.acceptedAt) < firstRequestTime) {
 		return
 	}
 	c.ending = true
@@ -74,7 +112,7 @@
 func (c *Conn) onExpired() {
 	limit := c.listener.Limits().IdleTimeout
 	c.mu.Lock()
-	idle := time.Since(c.idleSince)
+	idle := time.Since(c.phaseSince)
 	c.mu.Unlock()
 	if limit > 0 && idle >= limit+deadlineSlack {
 		c.CloseIdle()
--- a/internal/connection/receiver/receiver.go
+++ b/internal/connection/receiver/receiver.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	ln := &receiver.Listener{Listener: tcp, Budget: budget, Max: 2000, Limits: limits}
-//	srv := &http.Server{ConnState: receiver.ConnState, ...}
+//	srv := &http.Server{Handler: receiver.Handler(h), ConnState: receiver.ConnState, ...}
 //	go srv.Serve(ln)
 //
 //	left := ln.Drain(ctx) // at the end: all that has come is read, nothing else
@@ -78,7 +78,7 @@
 	// OnUnread, if set, is called for each connection that is closed while a request waits on it unread.
 	OnUnread func(Unread)
 
-	// ended is set once Accept has failed, after which no connection is added.
+	// ended is set once Accept has found the listener closed, after which no connection is added.
 	ended atomic.Bool
 	mu    sync.Mutex // guards conns
 	conns map[*Conn]struct{}
@@ -91,7 +91,9 @@
 	for {
 		nc, err := l.Listener.Accept()
 		if err != nil {
-			l.ended.Store(true)
+			if errors.Is(err, net.ErrClosed) { // net/http goes on after others
+				l.ended.Store(true)
+			}
 			return nil, err
 		}
 		if conn := l.admit(nc); conn != nil {
@@ -183,13 +185,17 @@
 	closed sync.Once
 
 	mu sync.Mutex // guards all below
-	// phase is what reads wait for, idleSince when they last began to wait for a request. deadline is the one that net/http has set for them; while the connection is to end,
+	// phase is what reads wait for, phaseSince since when. deadline is the one that net/http has set for them; while the connection is to end,
 	// they end at once.
-	phase     phase
-	idleSince time.Time
-	deadline  time.Time
-	ending    bool
-	evicted   bool
+	phase      phase
+	phaseSince time.Time
+	deadline   time.Time
+	ending     bool
+	evicted    bool
+	// handling is set while a Handler runs, handled once one has.
+	handling, handled bool
+	// givenUp is set if a drain doesn't wait for the rest of a request.
+	givenUp bool
 }
 
 // connKey is the key of the Conn in a request's context.
@@ -258,7 +264,7 @@
 		return 0, readError(errRefused)
 	}
 	n, err := c.Conn.Read(b)
-	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.requestWaits() {
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.headWaits() {
 		if !c.extendDeadline() {
 			return 0, c.refuse(http.StatusServiceUnavailable, "Retry-After: 1\r\n")
 		}
@@ -334,6 +340,9 @@
 func (c *Conn) Write(b []byte) (int, error) {
 	c.holder.Send(true)
 	defer c.holder.Send(false)
+	if c.Evicted() { // nobody evicts it again
+		_ = c.SetWriteDeadline(time.Now().Add(budgeter.QuietTime))
+	}
 	return c.Conn.Write(b)
 }
 
--- a/internal/connection/receiver/server.go
+++ b/internal/connection/receiver/server.go
@@ -33,7 +33,7 @@
 // NewOtherServer returns a server for a listener that is not for clients.
 func NewOtherServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: otherHeadTimeout, IdleTimeout: otherIdleTimeout, MaxHeaderBytes: MaxHeaderBytes(otherHeadBytes),
+		Handler: Handler(h), ReadHeaderTimeout: otherHeadTimeout, IdleTimeout: otherIdleTimeout, MaxHeaderBytes: MaxHeaderBytes(otherHeadBytes),
 		ConnState: ConnState, ConnContext: ConnContext,
 	}
 }
--- a/internal/connection/receiver/unread.go
+++ b/internal/connection/receiver/unread.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// restTime is how long a drain waits for the rest of a request.
+	restTime = time.Second
 	// firstRequestTime is how long a connection that was just opened may take to send its request.
 	firstRequestTime = 500 * time.Millisecond
 	// turnAwayTime bounds how long a connection without room holds up those behind it, and turnAwayBytes how much of its
@@ -62,17 +64,17 @@
 	return false, nil
 }
 
-// requestWaits reports whether bytes of a request, of its head or before it, wait unread. A deadline that has passed then
-// says that this process is late, not its client.
-func (c *Conn) requestWaits() bool {
+// headWaits reports whether bytes of a head, or before it, wait unread, or whether a head has begun that a drain doesn't wait
+// for. A deadline that has passed then says that this process is late, not its client.
+func (c *Conn) headWaits() bool {
 	c.mu.Lock()
-	p := c.phase
+	p, givenUp := c.phase, c.givenUp
 	c.mu.Unlock()
-	if p == running || c.inBody.Load() {
+	if p == running || c.head.Complete {
 		return false
 	}
 	unread, _ := Peek(c.Conn)
-	return unread
+	return unread || (givenUp && c.head.Bytes > 0)
 }
 
 // turnAway closes a connection for which there is no room. A request that has already come is refused.
--- a/internal/connection/receiver/unread_test.go
+++ b/internal/connection/receiver/unread_test.go
@@ -27,11 +27,13 @@
 		// others is the number of connections that are opened meanwhile, limit that of bytes held.
 		others int
 		limit  int64
+		// refused is set if the request may be refused.
+		refused bool
 	}{
 		{name: "its idle time is over", idle: 100 * time.Millisecond, httpIdle: time.Minute, limit: 32 << 20},
 		{name: "its idle time is over for net/http", idle: time.Minute, httpIdle: 300 * time.Millisecond, limit: 32 << 20},
-		{name: "others come that are over the limit", idle: time.Minute, httpIdle: time.Minute, others: connections, limit: 32 << 20},
-		{name: "others need the memory", idle: time.Minute, httpIdle: time.Minute, others: connections / 2, limit: 80 << 10},
+		{name: "others come that are over the limit", idle: time.Minute, httpIdle: time.Minute, others: connections, limit: 32 << 20, refused: true},
+		{name: "others need the memory", idle: time.Minute, httpIdle: time.Minute, others: connections / 2, limit: 80 << 10, refused: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			tcp, err := net.Listen("tcp", "127.0.0.1:0")
@@ -61,7 +63,7 @@
 			resp, err := http.ReadResponse(c.reader, nil)
 			assert.NilError(t, err)
 			defer resp.Body.Close()
-			assert.Assert(t, resp.StatusCode == http.StatusOK || (resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""), resp.Status)
+			assert.Assert(t, resp.StatusCode == http.StatusOK || (tt.refused && resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""), resp.Status)
 			assert.Equal(t, unread.Load(), int64(0))
 		})
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -296,7 +296,7 @@
 	defer stopAllocator()
 	g.workers.Go(func() { g.allocator.Run(allocatorCtx) })
 	g.clientServer = &http.Server{
-		Handler: http.HandlerFunc(g.serveRequest), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: receiver.Handler(http.HandlerFunc(g.serveRequest)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: receiver.MaxHeaderBytes(maxHeaderBytes), DisableGeneralOptionsHandler: true, ConnState: g.onConnState, ConnContext: connContext,
 		ErrorLog: slog.NewLogLogger(g.Log.Handler(), slog.LevelWarn),
 	}
--- a/internal/process/router/execute.go
+++ b/internal/process/router/execute.go
@@ -39,6 +39,9 @@
 		limit = maxSlotOwnerAttempts
 	}
 	for n := range limit {
+		if n == 0 && ctx.Err() != nil {
+			return r.timedOut(total)
+		}
 		if r.suspects.Verdict(creq.digest) == suspecter.Poison {
 			total = mergeResults(total, &result{outcome: framer.OutcomeNotRun, reason: agent.ReasonPoison})
 			break
@@ -91,7 +94,7 @@
 		return total
 	}
 	if ctx.Err() != nil {
-		return &result{outcome: framer.OutcomeNotRun, reason: reasonDeadlinePassed, billed: total.billed}
+		return r.timedOut(total)
 	}
 	res := &result{outcome: framer.OutcomeNotRun, reason: reasonBudgetExhausted, retryAfter: jitter(budgetRetryAfter)}
 	if !errors.Is(err, treasurer.ErrExhausted) {
@@ -101,6 +104,14 @@
 	return res
 }
 
+// timedOut returns the result of a request that has not run when its time is up, or that of this router.
+func (r *Router) timedOut(total *result) *result {
+	if r.running.Err() != nil {
+		return &result{outcome: framer.OutcomeNotRun, reason: "not-ready", retryAfter: jitter(defaultRetryAfter), billed: total.billed}
+	}
+	return &result{outcome: framer.OutcomeNotRun, reason: reasonDeadlinePassed, billed: total.billed}
+}
+
 // nextTarget returns the target for the next attempt, or nil if there is none.
 func (r *Router) nextTarget(ctx context.Context, creq *clientRequest, tried map[string]bool) *chooser.Candidate {
 	if creq.requiresSlotOwner() {
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -159,7 +159,7 @@
 	}
 	go r.slotOwners.run(background, r.Table, r.serviceCount)
 	clientServer := &http.Server{
-		Handler: r.clientAPI(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: receiver.MaxHeaderBytes(maxHeaderBytes),
+		Handler: receiver.Handler(r.clientAPI()), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: receiver.MaxHeaderBytes(maxHeaderBytes),
 		ConnState: receiver.ConnState, ConnContext: receiver.ConnContext,
 	}
 	served := make(chan error, 1)
