The soak finds requests that a gateway gives up (LOST)

What: a check LOST: a request that was sent as a whole and whose connection ends without a complete response, though its gateway was neither killed, frozen nor started from 3 s before, no target and no link to one broke the response off, and the request didn't cross the close of its connection. The history notes the connection of each request (kept, sent, reset) and the signals of each program. Clients that use open connections until the gateway closes them, and series of stops beside outages and slowness of the store come in addition, drawn from sequences of their own.

Runs: TestFindings shows LOST fail on made-up evidence; with any one of its exceptions taken out a case fails.

--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -40,32 +40,34 @@
 type fault struct {
 	name  string
 	begin func(s *Soak, random *rand.Rand) (end func())
+	// unplanned is set if the fault disturbs programs themselves.
+	unplanned bool
 }
 
 // faults are the faults that a soak chooses from at random.
 var faults = []fault{
-	{"kill", func(s *Soak, random *rand.Rand) func() { return s.killPrograms(pick(random, s.programs)) }},
-	{"kill all", func(s *Soak, _ *rand.Rand) func() { return s.killPrograms(s.programs...) }},
-	{"stop", func(s *Soak, random *rand.Rand) func() {
+	{name: "kill", unplanned: true, begin: func(s *Soak, random *rand.Rand) func() { return s.killPrograms(pick(random, s.programs)) }},
+	{name: "kill all", unplanned: true, begin: func(s *Soak, _ *rand.Rand) func() { return s.killPrograms(s.programs...) }},
+	{name: "stop", begin: func(s *Soak, random *rand.Rand) func() {
 		p := pick(random, s.programs)
 		p.stop()
 		return func() { s.restart(p) }
 	}},
-	{"freeze", func(s *Soak, random *rand.Rand) func() {
+	{name: "freeze", unplanned: true, begin: func(s *Soak, random *rand.Rand) func() {
 		p := pick(random, s.programs)
 		p.freeze()
 		return p.unfreeze
 	}},
-	{"reload", func(s *Soak, random *rand.Rand) func() {
+	{name: "reload", begin: func(s *Soak, random *rand.Rand) func() {
 		if err := pick(random, s.programs).reload(random.IntN(2) == 0); err != nil {
 			s.logEvent("reload failed", err.Error())
 		}
 		return nil
 	}},
-	{"store of one", func(s *Soak, random *rand.Rand) func() {
+	{name: "store of one", begin: func(s *Soak, random *rand.Rand) func() {
 		return setRandomMode(pick(random, s.programs).storeProxy, random)
 	}},
-	{"store of all gateways", func(s *Soak, random *rand.Rand) func() {
+	{name: "store of all gateways", begin: func(s *Soak, random *rand.Rand) func() {
 		var ends []func()
 		for _, p := range s.programs {
 			if p.kind == "gateway" {
@@ -78,61 +80,62 @@
 			}
 		}
 	}},
-	{"store", func(s *Soak, random *rand.Rand) func() { return s.injectStoreFault(random) }},
-	{"connection to a target", func(s *Soak, random *rand.Rand) func() {
-		return setRandomMode(pick(random, s.targets).proxy, random)
+	{name: "store", begin: func(s *Soak, random *rand.Rand) func() { return s.injectStoreFault(random) }},
+	{name: "connection to a target", begin: func(s *Soak, random *rand.Rand) func() {
+		t := pick(random, s.targets)
+		return both(setRandomMode(t.proxy, random), s.disturb(t.standin.ID))
 	}},
-	{"target", func(s *Soak, random *rand.Rand) func() {
+	{name: "target", begin: func(s *Soak, random *rand.Rand) func() {
 		t := pick(random, s.targets).standin
 		t.SetBehaviour([]platformtest.Behaviour{
 			{Full: true}, {Fail: true}, {Events: 8, ResetAfter: 2}, {NoResponse: true}, {Unsigned: true}, {Events: 8, EventInterval: 200 * time.Millisecond},
 		}[random.IntN(6)])
 		return func() { t.SetBehaviour(healthyBehaviour) }
 	}},
-	{"target drains", func(s *Soak, random *rand.Rand) func() {
+	{name: "target drains", begin: func(s *Soak, random *rand.Rand) func() {
 		t := pick(random, s.targets)
 		s.putEntry(t, "draining")
 		return func() { s.putEntry(t, "ready") }
 	}},
-	{"configuration", func(s *Soak, random *rand.Rand) func() { s.reconfigure(random); return nil }},
+	{name: "configuration", begin: func(s *Soak, random *rand.Rand) func() { s.reconfigure(random); return nil }},
 }
 
 // laterFaults are drawn from a sequence of their own, so that the seeds that failed
 // before this list existed still draw the same faults.
 var laterFaults = []fault{
-	{"crash and failures", func(s *Soak, random *rand.Rand) func() { return s.crashAndFail(random) }},
+	{name: "crash and failures", begin: func(s *Soak, random *rand.Rand) func() { return s.crashAndFail(random) }},
 }
 
 // crashingRequests are drawn from a sequence of their own too.
 var crashingRequests = []fault{
-	{"request that crashes targets", func(s *Soak, random *rand.Rand) func() { return s.sendCrashing(random) }},
+	{name: "request that crashes targets", begin: func(s *Soak, random *rand.Rand) func() { return s.sendCrashing(random) }},
 }
 
 // withdrawals are drawn from a sequence of their own too.
 var withdrawals = []fault{
-	{"target leaves", func(s *Soak, random *rand.Rand) func() { return s.leave(pick(random, s.targets)) }},
-	{"target wants nothing", func(s *Soak, random *rand.Rand) func() { return s.pause(pick(random, s.targets), random) }},
+	{name: "target leaves", begin: func(s *Soak, random *rand.Rand) func() { return s.leave(pick(random, s.targets)) }},
+	{name: "target wants nothing", begin: func(s *Soak, random *rand.Rand) func() { return s.pause(pick(random, s.targets), random) }},
 }
 
 // restorations are drawn from a sequence of their own too.
 var restorations = []fault{
-	{"store comes back from a copy", func(s *Soak, random *rand.Rand) func() { return s.restoreCopy(random) }},
+	{name: "store comes back from a copy", begin: func(s *Soak, random *rand.Rand) func() { return s.restoreCopy(random) }},
 }
 
 // namedLimits are drawn from a sequence of their own too.
 var namedLimits = []fault{
-	{"target limits the rate", func(s *Soak, random *rand.Rand) func() { return s.limit([]*target{pick(random, s.targets)}, random) }},
-	{"service limits the rate", func(s *Soak, random *rand.Rand) func() { return s.limit(s.targetsOf(random), random) }},
+	{name: "target limits the rate", begin: func(s *Soak, random *rand.Rand) func() { return s.limit([]*target{pick(random, s.targets)}, random) }},
+	{name: "service limits the rate", begin: func(s *Soak, random *rand.Rand) func() { return s.limit(s.targetsOf(random), random) }},
 }
 
 // harmfulRequests are drawn from a sequence of their own too.
 var harmfulRequests = []fault{
-	{"part of a prompt that crashes targets", func(s *Soak, random *rand.Rand) func() { return s.sendHarmful(random) }},
+	{name: "part of a prompt that crashes targets", begin: func(s *Soak, random *rand.Rand) func() { return s.sendHarmful(random) }},
 }
 
 // endlessResponses are drawn from a sequence of their own too.
 var endlessResponses = []fault{
-	{"response without end", func(s *Soak, random *rand.Rand) func() {
+	{name: "response without end", begin: func(s *Soak, random *rand.Rand) func() {
 		t := pick(random, s.targets).standin
 		t.SetBehaviour(platformtest.Behaviour{Endless: pick(random, []string{
 			"HTTP/1.1 200 OK\r\nX-Long: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "aaaaaaaaaaaaaaaa", "\r\n",
@@ -215,10 +218,14 @@
 
 // injectStoreFault sets a random fault of the store that affects all programs.
 func (s *Soak) injectStoreFault(random *rand.Rand) func() {
-	f := []platformtest.Faults{
+	return s.setStoreFault([]platformtest.Faults{
 		{Silent: true}, {Status: 503}, {Status: 429}, {DropAnswers: true}, {Delay: slowStoreDelay}, {LateCommits: lateCommitDelay},
 		{ForgetBefore: s.store.Version() + 1},
-	}[random.IntN(7)]
+	}[random.IntN(7)])
+}
+
+// setStoreFault sets a fault of the store that affects all programs.
+func (s *Soak) setStoreFault(f platformtest.Faults) (end func()) {
 	s.logEvent("store", fmt.Sprintf("%+v", f))
 	s.mu.Lock()
 	s.storeFaultCount++
@@ -234,6 +241,19 @@
 	}
 }
 
+// disturb notes that a target or its link may break off responses until end is called.
+func (s *Soak) disturb(target string) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.disturbances[target])
+	s.disturbances[target] = append(s.disturbances[target], Period{From: time.Now()})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.disturbances[target][n].Until = time.Now()
+	}
+}
+
 // restoreCopy lets the store refuse all calls and returns a function that lets it come back from a
 // copy of its rows.
 func (s *Soak) restoreCopy(random *rand.Rand) func() {
@@ -338,6 +358,14 @@
 		sleep(ctx, randomDuration(random, harmfulGap))
 		s.injectSequence(ctx, &wg, end, random, harmfulRequests, harmfulGap)
 	})
+	wg.Go(func() {
+		if s.IgnoreConditions {
+			return
+		}
+		random := rand.New(rand.NewPCG(s.Seed, 9))
+		sleep(ctx, randomDuration(random, seriesGap))
+		s.injectSequence(ctx, &wg, end, random, stopSeries, seriesGap)
+	})
 	s.injectSequence(ctx, &wg, end, s.random, faults, maxGap)
 }
 
@@ -347,8 +375,11 @@
 		f := pick(sequence, list)
 		duration := minFault + randomDuration(sequence, maxFault-minFault)
 		random := rand.New(rand.NewPCG(s.Seed, sequence.Uint64()))
-		s.logEvent("begin "+f.name, duration.String())
 		wg.Go(func() {
+			if f.unplanned && s.PlannedOnly {
+				return
+			}
+			s.logEvent("begin "+f.name, duration.String())
 			endFault := f.begin(s, random)
 			sleep(ctx, duration)
 			if endFault != nil {
@@ -374,7 +405,9 @@
 		s.restart(p)
 	}
 	for _, t := range s.targets {
+		end := s.disturb(t.standin.ID)
 		t.proxy.setMode(modePass)
+		end()
 		t.standin.SetBehaviour(healthyBehaviour)
 		t.standin.SetRateLimits()
 		s.putEntry(t, "ready")
--- a/internal/trial/soaker/history.go
+++ b/internal/trial/soaker/history.go
@@ -21,6 +21,7 @@
 	EndedAt   time.Time
 	// GatewayFrozen is set if the gateway was stopped by SIGSTOP during the request.
 	GatewayFrozen bool
+	Transfer
 }
 
 // Bounds are the limits that depend on the soak's configuration and duration.
@@ -59,11 +60,12 @@
 	e.observations = append(e.observations, s)
 }
 
-// Check returns the violated guarantees, given what targets ran by request ID and what
-// reached each of them. Every finding starts with the name of its check.
-func (e *History) Check(b Bounds, runs map[string][]platformtest.Run, arrivals map[string][]platformtest.Arrival) []string {
+// Check returns the violated guarantees, given what else is known. Every finding starts with the
+// name of its check.
+func (e *History) Check(b Bounds, ev Evidence) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	runs, arrivals := ev.Runs, ev.Arrivals
 	var found []string
 	for _, s := range e.observations {
 		for _, check := range []func(Observation, []platformtest.Run) string{
@@ -80,6 +82,7 @@
 	found = append(found, e.checkCrashes(runs)...)
 	found = append(found, e.checkWithdrawals(arrivals)...)
 	found = append(found, e.checkLimits(arrivals)...)
+	found = append(found, e.checkLosses(ev)...)
 	return append(found, e.checkRecovery(b)...)
 }
 
--- a/internal/trial/soaker/program.go
+++ b/internal/trial/soaker/program.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +42,8 @@
 	frozenUntil time.Time
 	stopping    bool
 	findings    []string
+	// signals are the signals and starts of all incarnations, in order.
+	signals []Signal
 }
 
 // signalSetupTime is how long a process may take until it handles signals. A
@@ -70,6 +73,7 @@
 		return errors.Wrap(err, "start "+p.name)
 	}
 	p.exited, p.stopping, p.frozen, p.startedAt = make(chan struct{}), false, false, time.Now()
+	p.noteSignal(start)
 	go p.reap(p.command, p.exited)
 	return nil
 }
@@ -151,10 +155,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command != nil {
+		p.noteSignal(s)
 		_ = p.command.Process.Signal(s) // it may have just ended
 	}
 }
 
+// signalStopping sends a signal to the process if it is stopping.
+func (p *program) signalStopping(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.stopping {
+		p.noteSignal(s)
+		_ = p.command.Process.Signal(s) // it may have just ended
+	}
+}
+
+// noteSignal notes a signal or a start; the caller holds mu.
+func (p *program) noteSignal(s syscall.Signal) {
+	p.signals = append(p.signals, Signal{time.Now(), s})
+}
+
+// noted returns the signals and starts of all incarnations.
+func (p *program) noted() []Signal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.signals)
+}
+
 // freeze stops the process with SIGSTOP until unfreeze.
 func (p *program) freeze() {
 	p.signal(syscall.SIGSTOP)
@@ -184,6 +211,9 @@
 	p.mu.Lock()
 	command, ended := p.command, p.exited
 	p.command = nil
+	if command != nil {
+		p.noteSignal(syscall.SIGKILL)
+	}
 	p.mu.Unlock()
 	if command != nil {
 		_ = command.Process.Kill() // it may have just ended
--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -48,6 +49,12 @@
 	Engines    int
 	Services   int
 	Clients    int
+	// KeepingClients is the number of further clients that use open connections until the gateway
+	// closes them.
+	KeepingClients int
+	// PlannedOnly passes over the faults that disturb programs in ways that nobody plans: kills and
+	// freezes.
+	PlannedOnly bool
 	// FaultDuration is how long faults are injected, CalmDuration how long clients
 	// go on after all faults have ended.
 	FaultDuration time.Duration
@@ -67,6 +74,8 @@
 	// of crashes; Run sets both.
 	CrashingRuns int
 	Crashes      int
+	// Losses counts what the check of losses has judged; Run sets it.
+	Losses Losses
 
 	random   *rand.Rand
 	store    *platformtest.Store
@@ -83,8 +92,10 @@
 	configuration   platformtest.Configuration
 	storeFaultCount int
 	copies          []platformtest.Copy
-	harmfulCount    int
-	crashingCount   int
+	// disturbances are the times in which each target may have broken off responses.
+	disturbances  map[string][]Period
+	harmfulCount  int
+	crashingCount int
 }
 
 const (
@@ -110,6 +121,7 @@
 	s.store = platformtest.NewStore()
 	defer s.store.Close()
 	s.store.SetEra(0)
+	s.disturbances = make(map[string][]Period)
 	var err error
 	if s.log, err = os.Create(filepath.Join(s.Dir, "soak.log")); err != nil {
 		return nil, errors.Wrap(err, "create log")
@@ -129,6 +141,9 @@
 	for i := range s.Clients {
 		wg.Go(func() { s.runClient(clientsCtx, i) })
 	}
+	for i := range s.KeepingClients {
+		wg.Go(func() { s.runKeepingClient(clientsCtx, i) })
+	}
 	s.injectFaults(ctx)
 	s.endFaults()
 	s.logEvent("calm", "")
@@ -137,9 +152,10 @@
 	stopClients()
 	wg.Wait()
 	s.senders.Wait()
-	runs := s.runs()
-	s.count(runs)
-	findings := s.history.Check(Bounds{AlphaBudget: s.configuration.AlphaBudget, RecoveryDeadline: recoveryDeadline}, runs, s.arrivals())
+	evidence := s.evidence()
+	s.count(evidence.Runs)
+	s.Losses = s.history.countLosses(evidence)
+	findings := s.history.Check(Bounds{AlphaBudget: s.configuration.AlphaBudget, RecoveryDeadline: recoveryDeadline}, evidence)
 	return append(findings, s.checkStops()...), nil
 }
 
@@ -165,6 +181,7 @@
 		standin.CrashOnPart(platformtest.PartCrash{Parts: harmfulParts(), Point: platformtest.InsideEvent})
 		standin.OnCrash = func() {
 			s.logEvent("crash", standin.ID)
+			s.noteCrash(standin.ID)
 			p.refuse()
 		}
 		standin.OnRestart = func() { s.restartTarget(t) }
@@ -249,6 +266,26 @@
 	return out
 }
 
+// evidence returns what is known besides the clients' observations.
+func (s *Soak) evidence() Evidence {
+	ev := Evidence{Runs: s.runs(), Arrivals: s.arrivals(), Signals: make(map[string][]Signal)}
+	for _, p := range s.programs {
+		ev.Signals[p.name] = p.noted()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ev.Disturbances = maps.Clone(s.disturbances)
+	return ev
+}
+
+// noteCrash notes that a target has crashed and is down.
+func (s *Soak) noteCrash(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.disturbances[target] = append(s.disturbances[target], Period{From: now.Add(-crashNotice), Until: now.Add(crashNotice)})
+}
+
 // count counts the runs that show what the seed has tested.
 func (s *Soak) count(runs map[string][]platformtest.Run) {
 	for _, list := range runs {
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -4,11 +4,13 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +28,8 @@
 	soakFaultDuration = flag.Duration("soakFaulty", 12*time.Second, "how long faults are injected")
 	soakJobs          = flag.Int("soakJobs", 1, "number of seeds that run at once")
 	soakHarmful       = flag.Bool("soakHarmful", false, "add requests with parts that crash targets")
+	soakPlanned       = flag.Bool("soakPlanned", false, "neither kill nor freeze programs")
+	soakKeeping       = flag.Int("soakKeeping", 3, "number of clients that use connections until they are closed")
 )
 
 // buildBinary builds the program under test and returns its path.
@@ -44,12 +48,14 @@
 	s := &soaker.Soak{
 		Binary: binary, Dir: dir, Seed: seed, Gateways: *soakGateways, Companions: 2, Engines: *soakTargets - *soakTargets/3,
 		Services: *soakTargets / 3, Clients: 4 * *soakGateways, FaultDuration: *soakFaultDuration, CalmDuration: 6 * time.Second,
-		IgnoreConditions: ignoreConditions, HarmfulParts: harmfulParts,
+		IgnoreConditions: ignoreConditions, HarmfulParts: harmfulParts, KeepingClients: *soakKeeping, PlannedOnly: *soakPlanned,
 	}
 	findings, err := s.Run(t.Context())
 	assert.NilError(t, err)
 	t.Logf("seed %d: streams were resumed %d times, %d of them at a failing target; requests that crash targets ran %d times, with %d crashes",
 		seed, s.Resumed, s.ResumedAtFailing, s.CrashingRuns, s.Crashes)
+	t.Logf("seed %d: %d requests to undisturbed gateways, %d of them during a stop, %d that met the close of their connection, %d given up by their clients",
+		seed, s.Losses.Judged, s.Losses.InStops, s.Losses.Crossed, s.Losses.GaveUp)
 	if len(findings) == 0 {
 		assert.NilError(t, os.RemoveAll(dir))
 	} else {
@@ -118,11 +124,14 @@
 		t.Run(title, func(t *testing.T) {
 			requests, want, _ := strings.Cut(rest, "--- ")
 			var h soaker.History
-			runs, arrivals := make(map[string][]platformtest.Run), make(map[string][]platformtest.Arrival)
+			ev := soaker.Evidence{
+				Runs: make(map[string][]platformtest.Run), Arrivals: make(map[string][]platformtest.Arrival),
+				Signals: make(map[string][]soaker.Signal), Disturbances: make(map[string][]soaker.Period),
+			}
 			for i, line := range strings.Split(strings.TrimSpace(requests), "\n") {
-				h.Add(parseObservation(t, fmt.Sprintf("r%d", i), line, runs, arrivals))
+				h.Add(parseObservation(t, fmt.Sprintf("r%d", i), line, ev))
 			}
-			found := h.Check(soaker.Bounds{AlphaBudget: 1000, RecoveryDeadline: at(50)}, runs, arrivals)
+			found := h.Check(soaker.Bounds{AlphaBudget: 1000, RecoveryDeadline: at(50)}, ev)
 			if want = strings.TrimSpace(want); want == "none" {
 				assert.Equal(t, len(found), 0, "%v", found)
 				return
@@ -141,8 +150,9 @@
 }
 
 // parseObservation parses one request line of testdata/evidence.txt.
-func parseObservation(t *testing.T, id, line string, runs map[string][]platformtest.Run, arrivals map[string][]platformtest.Arrival) soaker.Observation {
+func parseObservation(t *testing.T, id, line string, ev soaker.Evidence) soaker.Observation {
 	t.Helper()
+	runs, arrivals := ev.Runs, ev.Arrivals
 	s := soaker.Observation{Request: platformtest.Request{ID: id, Key: "alpha-key", Timeout: 2 * time.Second}, Gateway: "g@1", StartedAt: at(0), EndedAt: at(1)}
 	s.Response.Ended = true
 	for _, field := range strings.Fields(line) {
@@ -189,6 +199,29 @@
 			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, RetryAfter: value})
 		case "limit": // it did, and the target named this limit
 			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, RateLimit: value})
+		case "sent": // the client had sent the request on a connection that ended without a complete response
+			s.SentAt, s.Response.Ended, s.Response.Err = at(number), false, io.ErrUnexpectedEOF
+		case "kept":
+			s.Kept = true
+		case "responding":
+			s.Responding = true
+		case "reset":
+			s.Reset = true
+		case "refused":
+			s.Refused = true
+		case "gaveUp":
+			s.GaveUp = true
+		case "ran": // target t ran the request in this period
+			runs[id] = append(runs[id], platformtest.Run{StartedAt: parsePeriod(value).From, EndedAt: parsePeriod(value).Until})
+			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: parsePeriod(value).From, ID: id})
+		case "brokenOff": // target t did, and broke the response off
+			runs[id] = append(runs[id], platformtest.Run{Behaviour: platformtest.Behaviour{ResetAfter: 1}})
+			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: at(number), ID: id})
+		case "disturbed": // the link to target t was, in this period
+			ev.Disturbances["t"] = append(ev.Disturbances["t"], parsePeriod(value))
+		case "start", "term", "kill", "freeze", "thaw": // gateway g got it
+			signals := map[string]syscall.Signal{"term": syscall.SIGTERM, "kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT}
+			ev.Signals["g"] = append(ev.Signals["g"], soaker.Signal{At: at(number), Signal: signals[name]})
 		case "frozen":
 			s.GatewayFrozen = true
 		case "begun":
@@ -204,6 +237,14 @@
 	return s
 }
 
+// parsePeriod parses two numbers of seconds.
+func parsePeriod(value string) soaker.Period {
+	from, until, _ := strings.Cut(value, "-")
+	begin, _ := strconv.ParseFloat(from, 64) // the cases hold numbers only
+	end, _ := strconv.ParseFloat(until, 64)
+	return soaker.Period{From: at(begin), Until: at(end)}
+}
+
 // parseEvents parses a list of event numbers, or the number of events that came
 // in order.
 func parseEvents(value string) (out []int) {
--- a/internal/trial/soaker/withdrawing.go
+++ b/internal/trial/soaker/withdrawing.go
@@ -32,6 +32,7 @@
 	s.logEvent(t.standin.ID, "leaves")
 	t.standin.SetBehaviour(b)
 	return func() {
+		defer s.disturb(t.standin.ID)()
 		t.standin.Stop()
 		t.standin.SetBehaviour(healthyBehaviour)
 		if err := t.standin.Start(); err != nil {
