A client tells whether a request that got no response was read

What: a request counts as unread if its connection was reset, or had been closed before the request was written. Before, only a reset was looked for, for 20 ms after the end of the connection had been read, so it was missed where an idle connection ended while a client took it for the next request.

The rule LOST: a request that crosses the close and isn't passed on doesn't count.

--- a/internal/trial/soaker/losing.go
+++ b/internal/trial/soaker/losing.go
@@ -67,8 +67,8 @@
 	}
 	for _, s := range e.observations {
 		if s.isLost(ev, targets[s.Request.ID]) {
-			found = append(found, fmt.Sprintf("LOST: request %s at %s, status %d, %s: sent at %s, kept connection %t, reset %t; ended %v later without a complete response; it reached %v; %s: %v",
-				s.Request.ID, s.Gateway, s.Response.Status, s.Request.Path, s.SentAt.UTC().Format("15:04:05.000"), s.Kept, s.Reset,
+			found = append(found, fmt.Sprintf("LOST: request %s at %s, status %d, %s: sent at %s, kept connection %t, unread %t; ended %v later without a complete response; it reached %v; %s: %v",
+				s.Request.ID, s.Gateway, s.Response.Status, s.Request.Path, s.SentAt.UTC().Format("15:04:05.000"), s.Kept, s.Unread,
 				s.EndedAt.Sub(s.SentAt), targets[s.Request.ID], describe(ev.Signals[s.gatewayName()], s.EndedAt), s.Response.Err))
 		}
 	}
@@ -98,10 +98,10 @@
 	return !s.outlasts(ev, signals)
 }
 
-// crossedClose reports whether the request may not have been read: it has reached no target, and its
-// connection was reset soon after it was sent.
+// crossedClose reports whether the request met the close of its connection unread, soon after it was
+// sent.
 func (s Observation) crossedClose(targets []string) bool {
-	return s.Reset && !s.Responding && len(targets) == 0 && s.EndedAt.Sub(s.SentAt) <= unreadTime
+	return s.Unread && !s.Responding && len(targets) == 0 && s.EndedAt.Sub(s.SentAt) <= unreadTime
 }
 
 // brokenByTarget reports whether a response that had begun may have been broken off by a target.
