A stream whose time is up is not lost

What: a response that had begun is not LOST if its route's time or its deadline was over when it was broken off. One that had not begun still is.

The rule LOST: not counted is that the deadline or the route's timeout was reached.

Runs: TestFindings.

--- a/internal/trial/soaker/losing.go
+++ b/internal/trial/soaker/losing.go
@@ -21,6 +21,10 @@
 	// at the end of the grace, and lastParts says which part of the grace is its end.
 	longRequestTime = 3 * time.Second
 	lastParts       = 6
+	// notesTimeout is what the configuration allows requests of the route notes, routeTimeout those of
+	// the others.
+	notesTimeout = 3 * time.Second
+	routeTimeout = time.Second
 	// crashNotice is how much later than the end of its connections a target's crash may be noted.
 	crashNotice = 250 * time.Millisecond
 )
@@ -92,7 +96,7 @@
 	switch {
 	case !s.isBroken(), isDisturbed(signals, s.StartedAt, s.EndedAt), s.crossedClose(targets):
 		return false
-	case s.Responding && s.brokenByTarget(ev, targets):
+	case s.Responding && (s.brokenByTarget(ev, targets) || s.timeIsUp()):
 		return false
 	}
 	return !s.outlasts(ev, signals)
@@ -104,6 +108,16 @@
 	return s.Unread && !s.Responding && len(targets) == 0 && s.EndedAt.Sub(s.SentAt) <= unreadTime
 }
 
+// timeIsUp reports whether the request's deadline or the time that its route allows was over when its
+// connection ended.
+func (s Observation) timeIsUp() bool {
+	limit := routeTimeout
+	if strings.HasPrefix(s.Request.Path, "/notes/") {
+		limit = notesTimeout
+	}
+	return s.EndedAt.Sub(s.StartedAt) >= min(limit, s.Request.Timeout)
+}
+
 // brokenByTarget reports whether a response that had begun may have been broken off by a target.
 func (s Observation) brokenByTarget(ev Evidence, targets []string) bool {
 	for _, r := range ev.Runs[s.Request.ID] {
