--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -4,11 +4,13 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +28,8 @@
 	soakFaultDuration = flag.Duration("soakFaulty", 12*time.Second, "how long faults are injected")
 	soakJobs          = flag.Int("soakJobs", 1, "number of seeds that run at once")
 	soakHarmful       = flag.Bool("soakHarmful", false, "add requests with parts that crash targets")
+	soakPlanned       = flag.Bool("soakPlanned", false, "neither kill nor freeze programs")
+	soakKeeping       = flag.Int("soakKeeping", 3, "number of clients that use connections until they are closed")
 )
 
 // buildBinary builds the program under test and returns its path.
@@ -37,19 +41,29 @@
 	return binary
 }
 
-func runSoak(t *testing.T, binary string, seed uint64, ignoreConditions, harmfulParts bool) []string {
+// play is a seed and what it is played with.
+type play struct {
+	seed                                        uint64
+	ignoreConditions, harmfulParts, plannedOnly bool
+}
+
+// runSoak plays a seed and returns its findings.
+func runSoak(t *testing.T, binary string, p play) []string {
 	t.Helper()
+	seed := p.seed
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	assert.NilError(t, err)
 	s := &soaker.Soak{
 		Binary: binary, Dir: dir, Seed: seed, Gateways: *soakGateways, Companions: 2, Engines: *soakTargets - *soakTargets/3,
 		Services: *soakTargets / 3, Clients: 4 * *soakGateways, FaultDuration: *soakFaultDuration, CalmDuration: 6 * time.Second,
-		IgnoreConditions: ignoreConditions, HarmfulParts: harmfulParts,
+		IgnoreConditions: p.ignoreConditions, HarmfulParts: p.harmfulParts, KeepingClients: *soakKeeping, PlannedOnly: p.plannedOnly,
 	}
 	findings, err := s.Run(t.Context())
 	assert.NilError(t, err)
 	t.Logf("seed %d: streams were resumed %d times, %d of them at a failing target; requests that crash targets ran %d times, with %d crashes",
 		seed, s.Resumed, s.ResumedAtFailing, s.CrashingRuns, s.Crashes)
+	t.Logf("seed %d: %d requests to undisturbed gateways, %d of them during a stop, %d that met the close of their connection, %d given up by their clients",
+		seed, s.Losses.Judged, s.Losses.InStops, s.Losses.Crossed, s.Losses.GaveUp)
 	if len(findings) == 0 {
 		assert.NilError(t, os.RemoveAll(dir))
 	} else {
@@ -60,17 +74,17 @@
 
 // TestSoak runs the soak with several seeds.
 func TestSoak(t *testing.T) {
-	var seeds []uint64
+	var plays []play
 	for i := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+uint64(i))
+		plays = append(plays, play{seed: *soakFirst + uint64(i), harmfulParts: *soakHarmful, plannedOnly: *soakPlanned})
 	}
-	runSeeds(t, seeds, *soakJobs, *soakHarmful)
+	runPlays(t, plays, *soakJobs)
 }
 
 // TestSoakWithHarmfulParts runs the soak with parts that crash targets, with the seeds that failed.
 func TestSoakWithHarmfulParts(t *testing.T) {
 	const jobs = 3
-	runSeeds(t, []uint64{2, 5, 29}, jobs, true)
+	runPlays(t, []play{{seed: 2, harmfulParts: true}, {seed: 5, harmfulParts: true}, {seed: 29, harmfulParts: true}}, jobs)
 }
 
 // TestRegressions runs the soak with the seeds that failed before.
@@ -78,29 +92,29 @@
 	const jobs = 3
 	data, err := os.ReadFile("testdata/regressions.txt")
 	assert.NilError(t, err)
-	var seeds []uint64
+	var plays []play
 	for _, line := range strings.Split(string(data), "\n")[1:] {
-		if first, _, ok := strings.Cut(line, " "); ok {
+		if first, rest, ok := strings.Cut(line, " "); ok {
 			seed, err := strconv.ParseUint(first, 10, 64)
 			assert.NilError(t, err)
-			seeds = append(seeds, seed)
+			plays = append(plays, play{seed: seed, plannedOnly: strings.HasPrefix(rest, "planned ")})
 		}
 	}
-	runSeeds(t, seeds, jobs, false)
+	runPlays(t, plays, jobs)
 }
 
-// runSeeds runs the soak with seeds, at most jobs at a time, and reports every finding.
-func runSeeds(t *testing.T, seeds []uint64, jobs int, harmfulParts bool) {
+// runPlays plays seeds, at most jobs at a time, and reports every finding.
+func runPlays(t *testing.T, plays []play, jobs int) {
 	t.Helper()
 	binary := buildBinary(t)
 	slots := make(chan struct{}, jobs)
 	t.Run("seeds", func(t *testing.T) {
-		for _, seed := range seeds {
-			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+		for _, p := range plays {
+			t.Run(strconv.FormatUint(p.seed, 10), func(t *testing.T) {
 				t.Parallel()
 				slots <- struct{}{}
 				defer func() { <-slots }()
-				for _, f := range runSoak(t, binary, seed, false, harmfulParts) {
+				for _, f := range runSoak(t, binary, p) {
 					t.Error(f)
 				}
 			})
@@ -118,11 +132,14 @@
 		t.Run(title, func(t *testing.T) {
 			requests, want, _ := strings.Cut(rest, "--- ")
 			var h soaker.History
-			runs, arrivals := make(map[string][]platformtest.Run), make(map[string][]platformtest.Arrival)
+			ev := soaker.Evidence{
+				Runs: make(map[string][]platformtest.Run), Arrivals: make(map[string][]platformtest.Arrival),
+				Signals: make(map[string][]soaker.Signal), Disturbances: make(map[string][]soaker.Period),
+			}
 			for i, line := range strings.Split(strings.TrimSpace(requests), "\n") {
-				h.Add(parseObservation(t, fmt.Sprintf("r%d", i), line, runs, arrivals))
+				h.Add(parseObservation(t, fmt.Sprintf("r%d", i), line, ev))
 			}
-			found := h.Check(soaker.Bounds{AlphaBudget: 1000, RecoveryDeadline: at(50)}, runs, arrivals)
+			found := h.Check(soaker.Bounds{AlphaBudget: 1000, RecoveryDeadline: at(50)}, ev)
 			if want = strings.TrimSpace(want); want == "none" {
 				assert.Equal(t, len(found), 0, "%v", found)
 				return
@@ -141,8 +158,9 @@
 }
 
 // parseObservation parses one request line of testdata/evidence.txt.
-func parseObservation(t *testing.T, id, line string, runs map[string][]platformtest.Run, arrivals map[string][]platformtest.Arrival) soaker.Observation {
+func parseObservation(t *testing.T, id, line string, ev soaker.Evidence) soaker.Observation {
 	t.Helper()
+	runs, arrivals := ev.Runs, ev.Arrivals
 	s := soaker.Observation{Request: platformtest.Request{ID: id, Key: "alpha-key", Timeout: 2 * time.Second}, Gateway: "g@1", StartedAt: at(0), EndedAt: at(1)}
 	s.Response.Ended = true
 	for _, field := range strings.Fields(line) {
@@ -189,6 +207,29 @@
 			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, RetryAfter: value})
 		case "limit": // it did, and the target named this limit
 			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: s.StartedAt, ID: id, RateLimit: value})
+		case "sent": // the client had sent the request on a connection that ended without a complete response
+			s.SentAt, s.Response.Ended, s.Response.Err = at(number), false, io.ErrUnexpectedEOF
+		case "kept":
+			s.Kept = true
+		case "responding":
+			s.Responding = true
+		case "unread":
+			s.Unread = true
+		case "refused":
+			s.Refused = true
+		case "gaveUp":
+			s.GaveUp = true
+		case "ran": // target t ran the request in this period
+			runs[id] = append(runs[id], platformtest.Run{StartedAt: parsePeriod(value).From, EndedAt: parsePeriod(value).Until})
+			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: parsePeriod(value).From, ID: id})
+		case "brokenOff": // target t did, and broke the response off
+			runs[id] = append(runs[id], platformtest.Run{Behaviour: platformtest.Behaviour{ResetAfter: 1}})
+			arrivals["t"] = append(arrivals["t"], platformtest.Arrival{At: at(number), ID: id})
+		case "disturbed": // the link to target t was, in this period
+			ev.Disturbances["t"] = append(ev.Disturbances["t"], parsePeriod(value))
+		case "start", "term", "kill", "freeze", "thaw": // gateway g got it
+			signals := map[string]syscall.Signal{"term": syscall.SIGTERM, "kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT}
+			ev.Signals["g"] = append(ev.Signals["g"], soaker.Signal{At: at(number), Signal: signals[name]})
 		case "frozen":
 			s.GatewayFrozen = true
 		case "begun":
@@ -204,6 +245,14 @@
 	return s
 }
 
+// parsePeriod parses two numbers of seconds.
+func parsePeriod(value string) soaker.Period {
+	from, until, _ := strings.Cut(value, "-")
+	begin, _ := strconv.ParseFloat(from, 64) // the cases hold numbers only
+	end, _ := strconv.ParseFloat(until, 64)
+	return soaker.Period{From: at(begin), Until: at(end)}
+}
+
 // parseEvents parses a list of event numbers, or the number of events that came
 // in order.
 func parseEvents(value string) (out []int) {
@@ -224,6 +273,6 @@
 // With a store that applies commits regardless of their conditions, routers draw
 // the same tokens twice. The soak must report the overspend.
 func TestSpendCheckFailsWithoutConditions(t *testing.T) {
-	findings := runSoak(t, buildBinary(t), 2, true, false)
+	findings := runSoak(t, buildBinary(t), play{seed: 2, ignoreConditions: true})
 	assert.Assert(t, strings.Contains(strings.Join(findings, "\n"), "BUDGET"), "%v", findings)
 }
