A body given up in a drain is refused as not run

Cause: a drain that gave up the rest of a body made its read fail as if the client had cut it short, and the request was refused with 400, after which clients don't come again.

Evidence: TestBodyGivenUpInADrainIsTakenForCutShort fails on the code before (i/o timeout instead of no room) and passes.

--- a/internal/connection/receiver/body.go
+++ b/internal/connection/receiver/body.go
@@ -58,7 +58,7 @@
 		return nil, err
 	case err != nil && !time.Now().Before(deadline):
 		return nil, ErrLate
-	case c.holder.Evicted():
+	case c.holder.Evicted() || (err != nil && c.Evicted()):
 		return nil, ErrNoRoom
 	case errors.Is(err, ErrNoRoom):
 		c.listener.Budget.Refuse()
--- a/internal/connection/receiver/drain_test.go
+++ b/internal/connection/receiver/drain_test.go
@@ -130,6 +130,24 @@
 	assert.Equal(t, c.receive().body, "ok")
 }
 
+// TestBodyGivenUpInADrainIsTakenForCutShort drains beside a client that doesn't send the rest of a body. The request has not run and
+// may be sent again, which a refusal as malformed would deny.
+func TestBodyGivenUpInADrainIsTakenForCutShort(t *testing.T) {
+	ln := serve(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		_, err := receiver.Of(r.Context()).ReadBody(r.Body, r.ContentLength, 4<<20, time.Now().Add(time.Minute))
+		assert.Check(t, errors.Is(err, receiver.ErrNoRoom), "%v", err)
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	c := dial(t, ln)
+	c.send(fmt.Sprintf(post, 100, "") + "b")
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	assert.Equal(t, ln.Drain(ctx), 0)
+	assert.Equal(t, c.receive().status, http.StatusServiceUnavailable)
+}
+
 // TestIdleCloseEndsTheNextRequest tells a connection to close that was found idle just before a request began. It was closed
 // after the response, which had not announced it.
 func TestIdleCloseEndsTheNextRequest(t *testing.T) {
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -329,6 +329,10 @@
 	switch {
 	case errors.Is(err, receiver.ErrTooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", closeConnection: true}
+	case errors.Is(err, receiver.ErrNoRoom) && g.refusing.Load():
+		ref := stoppedRefusal(q)
+		ref.readEnded = true
+		return ref
 	case errors.Is(err, receiver.ErrNoRoom):
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no memory left for the body", retryAfter: noRoomRetryAfter, closeConnection: true, readEnded: true}
 	case errors.Is(err, receiver.ErrLate):
