Feeds: logs tell whether a call waited, read or was applied slowly

A gateway that applies a configuration seconds late said only that its change feed had failed: a store that doesn't answer, a reply that arrives slowly and a process without processor time looked alike. Line 310 says now how long the call waited for the first part of its reply, how long it had been reading, in how many parts, and the process's lag; line 315 says the same of slow calls that succeed, with the time until the rows were applied.

--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -14,6 +14,7 @@
 	"cmp"
 	"container/list"
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"sync"
@@ -23,6 +24,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/process/timekeeper"
 )
 
 const (
@@ -114,7 +116,18 @@
 	if err := s.Write(request); err != nil {
 		return zero, err
 	}
-	return framer.ReadAs[T](s.Framer)
+	return framer.ReadAs[T](framer.New(replyConn{Stream: s.conn, reply: timekeeper.Reader(ctx, s.conn)}))
+}
+
+// replyConn reads the reply to a call.
+type replyConn struct {
+	*yamux.Stream
+	reply io.Reader
+}
+
+// Read implements io.Reader.
+func (c replyConn) Read(p []byte) (int, error) {
+	return c.reply.Read(p)
 }
 
 // Stream is a yamux stream that carries framed messages.
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,7 @@
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/process/timekeeper"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -23,8 +25,38 @@
 	// stableAfter is the time without failed calls from which the store counts as
 	// stable, so that the target of a deleted entry is removed at once.
 	stableAfter = 3 * time.Second
+	// slowFeedCall is the time of a call that brought rows, and of their use, from which it is logged.
+	slowFeedCall = 1500 * time.Millisecond
 )
 
+// feedCall records how the reply to a call arrives. recordPart may be called on any goroutine.
+type feedCall struct {
+	startedAt time.Time
+
+	mu      sync.Mutex // guards the fields below
+	firstAt time.Time
+	parts   int
+}
+
+func (c *feedCall) recordPart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.parts == 0 {
+		c.firstAt = time.Now()
+	}
+	c.parts++
+}
+
+// times returns how long the call waited for the first part of its reply and then read until now.
+func (c *feedCall) times(now time.Time) (waited, read time.Duration, parts int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.parts == 0 {
+		return now.Sub(c.startedAt), 0, 0
+	}
+	return c.firstAt.Sub(c.startedAt), now.Sub(c.firstAt), c.parts
+}
+
 // feedState records the health of a table's change feed.
 type feedState struct {
 	// succeededAt is the time of the last successful call, failedAt that of the last
@@ -53,10 +85,12 @@
 	for ctx.Err() == nil {
 		var batch storer.RowBatch
 		var err error
+		call := &feedCall{startedAt: time.Now()}
+		callCtx := timekeeper.Watch(ctx, call.recordPart)
 		if listed {
-			batch, err = g.store.Watch(ctx, f.table, next, cmp.Or(f.wait, feedWait))
+			batch, err = g.store.Watch(callCtx, f.table, next, cmp.Or(f.wait, feedWait))
 		} else {
-			batch, err = g.store.List(ctx, f.table)
+			batch, err = g.store.List(callCtx, f.table)
 		}
 		now := time.Now()
 		switch {
@@ -66,7 +100,7 @@
 			state.failedAt = now
 			continue
 		case err != nil:
-			g.recordFeedFailure(ctx, f.table, &state, err, now)
+			g.recordFeedFailure(ctx, f.table, &state, call, err, now)
 			continue
 		}
 		if state.failedAt.After(state.succeededAt) {
@@ -82,16 +116,23 @@
 		} else {
 			f.replace(batch.Rows, stable)
 		}
+		if applied := time.Since(now); call.startedAt.Add(slowFeedCall).Before(now.Add(applied)) && len(batch.Rows) > 0 {
+			waited, read, parts := call.times(now)
+			logger.FeedSlow.Log(g.Log, "table", f.table, "version", batch.Next.Version, "rows", len(batch.Rows), "waitedMs", waited.Milliseconds(),
+				"readMs", read.Milliseconds(), "parts", parts, "appliedMs", applied.Milliseconds(), "lag", g.currentLag(now))
+		}
 		next, listed = batch.Next, true
 	}
 }
 
-func (g *Gateway) recordFeedFailure(ctx context.Context, table string, state *feedState, err error, now time.Time) {
+func (g *Gateway) recordFeedFailure(ctx context.Context, table string, state *feedState, call *feedCall, err error, now time.Time) {
 	if ctx.Err() != nil {
 		return
 	}
 	if !state.failedAt.After(state.succeededAt) {
-		logger.FeedFailed.Log(g.Log, "table", table, "error", err)
+		waited, read, parts := call.times(now)
+		logger.FeedFailed.Log(g.Log, "table", table, "error", err, "waitedMs", waited.Milliseconds(), "readMs", read.Milliseconds(),
+			"parts", parts, "lag", g.currentLag(now))
 	}
 	state.failedAt = now
 	g.feeds.Store(table, *state)
