Feeds: a reply that is still arriving is neither abandoned nor requested again

Cause: a call to the store had to end within its wait and one second, and was sent a second time, through a companion, 0.4 s after its wait. A document of 4,000 routes takes over a second on the link of a gateway. Each attempt that was given up had used the link for nothing and began anew, and the repeated call shared the link with the first one.

Calls are now bounded until the first part of their reply and between parts; a direct call is repeated only if no part comes for the hedge delay, and a direct read is ended once the relayed one has its reply.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -32,6 +32,8 @@
 	minTimeout    = time.Second
 	maxTimeout    = 3 * time.Second
 	timeoutFactor = 3
+	// maxTransferTime is how much longer than its timeout a call may last while its reply arrives.
+	maxTransferTime = 20 * time.Second
 	// The hedge delay, after which a slow direct call is also relayed, is hedgeFactor
 	// times the recent call time, but at least minHedgeDelay, which is a hundred times
 	// the usual call time. The recent call time rises at once with a slower call and
--- a/internal/connection/relayer/relayer_test.go
+++ b/internal/connection/relayer/relayer_test.go
@@ -66,6 +66,12 @@
 // startCompanion starts a server that performs relayed calls on b, and returns a link to
 // it.
 func startCompanion(t *testing.T, b relayer.Backend) *linker.Link {
+	t.Helper()
+	return dialCompanion(t, startCompanionServer(t, b))
+}
+
+// startCompanionServer starts a server that performs relayed calls on b, and returns its address.
+func startCompanionServer(t *testing.T, b relayer.Backend) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -73,13 +79,18 @@
 		Secret: secret, Self: linker.Identity{Name: "c", Incarnation: "c@1"}, Handler: relayHandler{relays: &relayer.Server{Store: b}},
 	}
 	go func() { _ = srv.Serve(ln) }()
-	link, err := linker.Dial(context.Background(), ln.Addr().String(), secret, linker.Identity{Name: "r", Incarnation: "r@1"})
-	assert.NilError(t, err)
 	t.Cleanup(func() {
-		_ = link.Close()
 		_ = ln.Close()
 		srv.Close()
 	})
+	return ln.Addr().String()
+}
+
+func dialCompanion(t *testing.T, address string) *linker.Link {
+	t.Helper()
+	link, err := linker.Dial(context.Background(), address, secret, linker.Identity{Name: "r", Incarnation: "r@1"})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = link.Close() })
 	return link
 }
 
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -10,6 +10,7 @@
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/process/timekeeper"
 )
 
 // errDirectTimeout is reported if the direct path brings no reply in time.
@@ -118,7 +119,13 @@
 		go func() { _, _ = callDirect(context.WithoutCancel(ctx), s, wait, timeout, direct) }() // records its result
 	}
 	if useDirect {
-		v, err := callDirectHedged(ctx, s, wait, timeout, direct)
+		directCtx := ctx
+		if _, reads := call.(*framer.RelayWatch); reads {
+			var cancel context.CancelFunc
+			directCtx, cancel = context.WithCancel(ctx)
+			defer cancel() // a reply that nobody reads would take room on the link
+		}
+		v, err := callDirectHedged(directCtx, s, wait, timeout, direct)
 		if !pathFailed(err) {
 			return v, err
 		}
@@ -142,10 +149,15 @@
 	return v, err
 }
 
+// bound returns the bounds of a call whose reply begins to arrive within the timeout.
+func bound(timeout time.Duration) timekeeper.Bounds {
+	return timekeeper.Bounds{First: timeout, Stall: maxTimeout, Whole: timeout + maxTransferTime}
+}
+
 // callRelayed makes a call through another process.
 func callRelayed[T any](ctx context.Context, link *linker.Link, timeout time.Duration, call any,
 	decode func(*framer.Relayed) (T, error)) (T, error) {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := bound(timeout).Start(ctx)
 	defer cancel()
 	reply, err := linker.Call[*framer.Relayed](callCtx, link, call)
 	if err != nil {
@@ -157,7 +169,7 @@
 
 // callDirect makes a call on the direct path and records whether the path works.
 func callDirect[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error)) (T, error) {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := bound(timeout).Start(ctx)
 	defer cancel()
 	startedAt := time.Now()
 	v, err := direct(callCtx)
@@ -168,25 +180,38 @@
 	return v, err
 }
 
-// callDirectHedged makes a call on the direct path. It returns errDirectTimeout if there
-// is no reply within the hedge delay, unless there is no other path; it waits for the
-// reply then.
+// callDirectHedged makes a call on the direct path. It returns errDirectTimeout if no part
+// of the reply has come within the hedge delay, or none since the last one, unless there
+// is no other path; it waits for the reply then.
 func callDirectHedged[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error)) (T, error) {
 	type result struct {
 		v   T
 		err error
 	}
-	results := make(chan result, 1)
+	results, parts := make(chan result, 1), make(chan struct{}, 1)
+	ctx = timekeeper.Watch(ctx, func() {
+		select {
+		case parts <- struct{}{}:
+		default:
+		}
+	})
 	go func() {
 		v, err := callDirect(ctx, s, wait, timeout, direct)
 		results <- result{v: v, err: err}
 	}()
-	timer := time.NewTimer(wait + s.hedgeDelay())
+	delay := s.hedgeDelay()
+	hedgeAt := time.Now().Add(wait + delay)
+	timer := time.NewTimer(wait + delay)
 	defer timer.Stop()
-	select {
-	case res := <-results:
-		return res.v, res.err
-	case <-timer.C:
+	for late := false; !late; {
+		select {
+		case res := <-results:
+			return res.v, res.err
+		case <-parts:
+			timer.Reset(max(delay, time.Until(hedgeAt)))
+		case <-timer.C:
+			late = true
+		}
 	}
 	if len(s.Links()) == 0 {
 		res := <-results
