TestIdleLimitIsRaised: the count of connections follows the close

The client sees the close before the listener has taken the connection off its list (Conn.Close closes the descriptor first). The test gives it one second; the number asked for is the same.

--- a/internal/connection/receiver/unread_test.go
+++ b/internal/connection/receiver/unread_test.go
@@ -95,5 +95,8 @@
 	assert.Equal(t, kept.receive().body, "2")
 	_, err = closed.reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
+	for deadline := time.Now().Add(time.Second); ln.Open() != 1 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond) // the descriptor is closed before the connection is taken off the list
+	}
 	assert.Assert(t, ln.Open() == 1, "%d connections are open", ln.Open())
 }
