Feeds: a long reply is also requested through a companion, compressed

A read whose direct reply is longer than 128 KB is made through a companion too, which has a wide link and compresses the rows. The reply that is complete first is used and the other call is ended. RelayWatch asks for compression, so that processes of earlier releases understand each other.

--- a/internal/connection/framer/fuzz_test.go
+++ b/internal/connection/framer/fuzz_test.go
@@ -53,10 +53,10 @@
 			Conditions: []framer.RowCondition{{Key: "a//b", Version: 3}},
 			Writes:     []framer.RowWrite{{Key: "a//b", Value: []byte("v")}, {Key: "a//c", Delete: true}},
 		},
-		&framer.RelayWatch{Table: "t", After: 4, Wait: time.Second},
+		&framer.RelayWatch{Table: "t", After: 4, Wait: time.Second, Compress: true},
 		&framer.Relayed{
 			Outcome: framer.RelayConflict, Version: 5, Clock: time.Second, Error: "e", Era: 2,
-			Rows: []framer.RowValue{{Key: "a//b", Version: 3, Value: []byte("v")}, {Key: "a//c", Version: 4, Deleted: true}},
+			Rows: []framer.RowValue{{Key: "a//b", Version: 3, Value: []byte("v")}, {Key: "a//c", Version: 4, Deleted: true}, {Key: "a//d", Version: 5, Value: []byte("w"), Compressed: true}},
 		},
 		&framer.RecordDraws{Router: "r", Draws: []framer.Draw{{Organisation: "alpha", Commit: 3, Drawn: 700}}},
 		&framer.DrawsRecorded{Age: time.Second},
--- a/internal/connection/framer/store.go
+++ b/internal/connection/framer/store.go
@@ -29,6 +29,8 @@
 	Version uint64
 	Value   []byte
 	Deleted bool
+	// Compressed says that Value is a DEFLATE stream.
+	Compressed bool
 }
 
 // RelayCommit asks a process that can reach the platform's store to commit there.
@@ -44,6 +46,8 @@
 	After uint64
 	Wait  time.Duration
 	List  bool
+	// Compress says that long rows of the reply may be compressed.
+	Compress bool
 }
 
 // RelayOutcome says how a relayed call ended.
@@ -152,7 +156,7 @@
 		}}}
 	case *RelayWatch:
 		return &wire.Frame{Body: &wire.Frame_RelayWatch{RelayWatch: &wire.RelayWatch{
-			Table: m.Table, After: m.After, WaitMillis: m.Wait.Milliseconds(), List: m.List,
+			Table: m.Table, After: m.After, WaitMillis: m.Wait.Milliseconds(), List: m.List, Compress: m.Compress,
 		}}}
 	case *Relayed:
 		return &wire.Frame{Body: &wire.Frame_Relayed{Relayed: &wire.Relayed{
@@ -200,7 +204,7 @@
 	case *wire.Frame_RelayWatch:
 		w := b.RelayWatch
 		return &RelayWatch{
-			Table: w.GetTable(), After: w.GetAfter(), Wait: time.Duration(w.GetWaitMillis()) * time.Millisecond, List: w.GetList(),
+			Table: w.GetTable(), After: w.GetAfter(), Wait: time.Duration(w.GetWaitMillis()) * time.Millisecond, List: w.GetList(), Compress: w.GetCompress(),
 		}
 	case *wire.Frame_Relayed:
 		r := b.Relayed
@@ -267,11 +271,11 @@
 }
 
 func encodeRow(r RowValue) *wire.RowValue {
-	return &wire.RowValue{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted}
+	return &wire.RowValue{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted, Compressed: r.Compressed}
 }
 
 func decodeRow(r *wire.RowValue) RowValue {
-	return RowValue{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted()}
+	return RowValue{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted(), Compressed: r.GetCompressed()}
 }
 
 func encodeReport(r assessor.Report) *wire.TargetReport {
--- a/internal/connection/relayer/codec.go
+++ b/internal/connection/relayer/codec.go
@@ -48,6 +48,10 @@
 func decodeRowBatch(r *framer.Relayed) (storer.RowBatch, error) {
 	batch := storer.RowBatch{Next: storer.Position{Era: storer.Era(r.Era), Version: r.Version}}
 	for _, row := range r.Rows {
+		row, err := decompress(row)
+		if err != nil {
+			return storer.RowBatch{}, errors.Wrap(storer.ErrUnavailable, err.Error())
+		}
 		batch.Rows = append(batch.Rows, decodeRow(row, batch.Next.Era))
 	}
 	return batch, decodeError(r)
--- a/internal/connection/relayer/longreply_test.go
+++ b/internal/connection/relayer/longreply_test.go
@@ -1,8 +1,10 @@
 package relayer_test
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -22,13 +24,20 @@
 // slowBackend replies to a Watch in parts.
 type slowBackend struct {
 	backend
-	parts   int // parts of the reply that arrive
-	missing int // parts that don't
-	watches *atomic.Int64
+	parts     int // parts of the reply that arrive
+	missing   int // parts that don't
+	partBytes int
+	value     []byte
+	watches   *atomic.Int64
+	cancelled *atomic.Int64
 }
 
 func newSlowBackend(parts, missing int) slowBackend {
-	return slowBackend{backend: newBackend(storer.NewMemory()), parts: parts, missing: missing, watches: &atomic.Int64{}}
+	value := make([]byte, 2<<20)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(value) // compressed it is no shorter
+	return slowBackend{
+		backend: newBackend(storer.NewMemory()), parts: parts, missing: missing, partBytes: 1, value: value, watches: &atomic.Int64{}, cancelled: &atomic.Int64{},
+	}
 }
 
 // Watch implements storer.Watcher.
@@ -38,13 +47,14 @@
 		select {
 		case <-time.After(partInterval):
 		case <-ctx.Done():
+			b.cancelled.Add(1)
 			return storer.RowBatch{}, errors.Wrap(storer.ErrUnavailable, ctx.Err().Error())
 		}
 		if part < b.parts {
-			timekeeper.Report(ctx)
+			timekeeper.Report(ctx, b.partBytes)
 		}
 	}
-	row := storer.Row{Key: table + "//a", Version: 1, Value: make([]byte, 2<<20)}
+	row := storer.Row{Key: table + "//a", Version: 1, Value: b.value}
 	return storer.RowBatch{Rows: []storer.Row{row}, Next: storer.Position{Version: 1}}, nil
 }
 
@@ -122,3 +132,47 @@
 	assert.Equal(t, len(batch.Rows), 1)
 	assert.Equal(t, relayed.watches.Load(), int64(1))
 }
+
+// TestLongReplyTakesANarrowLink lets a long reply arrive on the direct path for 3 s. The rows come
+// sooner over a link, compressed.
+func TestLongReplyTakesANarrowLink(t *testing.T) {
+	direct, relayed := newSlowBackend(60, 0), newSlowBackend(0, 0)
+	direct.partBytes = 64 << 10
+	relayed.value = bytes.Repeat([]byte(`{"name":"route","prefix":"/a/"},`), 1<<16)
+	link := dialCompanion(t, narrow(t, startCompanionServer(t, relayed), 600_000))
+	s := &relayer.Store{Direct: direct, Links: func() []*linker.Link { return []*linker.Link{link} }}
+	startedAt := time.Now()
+	batch, err := s.Watch(t.Context(), "op", storer.Position{}, 100*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Rows), 1)
+	assert.Assert(t, bytes.Equal(batch.Rows[0].Value, relayed.value))
+	assert.Assert(t, time.Since(startedAt) < 2*time.Second, "after %v", time.Since(startedAt))
+	time.Sleep(2 * partInterval)
+	assert.Equal(t, direct.cancelled.Load(), int64(1))
+}
+
+// TestLongReplyWithoutAnotherPath relays a call whose reply is long through a process that can't
+// reach the store.
+func TestLongReplyWithoutAnotherPath(t *testing.T) {
+	direct, relayed := newSlowBackend(40, 0), newBackend(storer.NewMemory())
+	direct.partBytes = 64 << 10
+	relayed.partitioned.Store(true)
+	link := startCompanion(t, relayed)
+	s := &relayer.Store{Direct: direct, Links: func() []*linker.Link { return []*linker.Link{link} }}
+	batch, err := s.Watch(t.Context(), "op", storer.Position{}, 100*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(batch.Rows[0].Value, direct.value))
+	assert.Equal(t, direct.watches.Load(), int64(1))
+}
+
+// TestCompressedRowIsTooLong sends a row that is longer after decompression than a row may be.
+func TestCompressedRowIsTooLong(t *testing.T) {
+	direct, relayed := newBackend(storer.NewMemory()), newSlowBackend(0, 0)
+	direct.partitioned.Store(true)
+	relayed.value = make([]byte, 17<<20)
+	link := startCompanion(t, relayed)
+	s := &relayer.Store{Direct: direct, Links: func() []*linker.Link { return []*linker.Link{link} }}
+	_, err := s.Watch(t.Context(), "op", storer.Position{}, 100*time.Millisecond)
+	assert.ErrorIs(t, err, storer.ErrUnavailable)
+	assert.ErrorContains(t, err, "too long")
+}
--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -4,7 +4,8 @@
 // A Server performs relayed calls on a store. A Store calls a store directly while that
 // works, and through linked processes while it does not. Every commit is conditional and
 // may be sent again unchanged, so a call whose reply was lost on one path may be repeated
-// on another.
+// on another. A read whose reply is long is also made through a linked process, which
+// compresses the rows: the store doesn't, and a process may have a narrow link.
 //
 // # Usage
 //
@@ -41,6 +42,9 @@
 	minHedgeDelay = 400 * time.Millisecond
 	hedgeFactor   = 2
 	callTimeDecay = 0.8
+	// longReplyBytes is the length of a direct reply from which the call is also relayed, for
+	// compressed rows. It takes 0.1 s on a link of 10 Mbit/s.
+	longReplyBytes = 128 << 10
 	// maxWatchWait bounds the wait that a linked process may request in a RelayWatch.
 	maxWatchWait = 30 * time.Second
 )
@@ -54,6 +58,8 @@
 // Server performs relayed calls on a store.
 type Server struct {
 	Store Backend
+
+	compressor compressor
 }
 
 // Serve handles a message if it is a relayed call, and reports whether it is one.
@@ -77,7 +83,11 @@
 		reply := encodeError(err)
 		reply.Version, reply.Era = batch.Next.Version, uint64(batch.Next.Era)
 		for _, r := range batch.Rows {
-			reply.Rows = append(reply.Rows, encodeRow(r))
+			row := encodeRow(r)
+			if m.Compress {
+				row = s.compressor.compress(row)
+			}
+			reply.Rows = append(reply.Rows, row)
 		}
 		_ = stream.Write(reply) // if it fails, the peer sees the stream end
 		return true
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,8 +14,12 @@
 	"github.com/egretroute/egretroute/internal/process/timekeeper"
 )
 
-// errDirectTimeout is reported if the direct path brings no reply in time.
-var errDirectTimeout = errors.Wrap(storer.ErrUnavailable, "no reply on the direct path in time")
+var (
+	// errDirectTimeout is reported if the direct path brings no reply in time.
+	errDirectTimeout = errors.Wrap(storer.ErrUnavailable, "no reply on the direct path in time")
+	// errLongReply is reported if the direct path brings a reply that is better compressed.
+	errLongReply = errors.New("the reply on the direct path is long")
+)
 
 // Store is a Backend that relays calls through other processes while the direct path to
 // the store fails. Exported fields are set before the first call.
@@ -52,14 +57,14 @@
 func (s *Store) List(ctx context.Context, table string) (storer.RowBatch, error) {
 	return relay(ctx, s, 0,
 		func(ctx context.Context) (storer.RowBatch, error) { return s.Direct.List(ctx, table) },
-		&framer.RelayWatch{Table: table, List: true}, decodeRowBatch)
+		&framer.RelayWatch{Table: table, List: true, Compress: true}, decodeRowBatch)
 }
 
 // Watch implements storer.Watcher.
 func (s *Store) Watch(ctx context.Context, table string, after storer.Position, wait time.Duration) (storer.RowBatch, error) {
 	return relay(ctx, s, wait,
 		func(ctx context.Context) (storer.RowBatch, error) { return s.Direct.Watch(ctx, table, after, wait) },
-		&framer.RelayWatch{Table: table, After: after.Version, Wait: wait}, decodeRowBatch)
+		&framer.RelayWatch{Table: table, After: after.Version, Wait: wait, Compress: true}, decodeRowBatch)
 }
 
 // callTimeout returns the timeout of a call, without the time that the store may wait.
@@ -112,20 +117,25 @@
 	lastErr := errors.Wrap(storer.ErrRefused, "the direct path fails")
 	timeout, startedAt := wait+s.callTimeout(), time.Now()
 	useDirect, probe := s.tryDirect()
+	_, reads := call.(*framer.RelayWatch)
 	if probe {
 		// A call may be made on both paths, so the call itself serves as the probe. It
 		// may take effect whatever the outcome on the other path is.
 		lastErr = errors.Wrap(storer.ErrUnavailable, "the direct path is only probed")
-		go func() { _, _ = callDirect(context.WithoutCancel(ctx), s, wait, timeout, direct) }() // records its result
+		go probeDirect(context.WithoutCancel(ctx), s, wait, timeout, direct, reads)
 	}
 	if useDirect {
 		directCtx := ctx
-		if _, reads := call.(*framer.RelayWatch); reads {
+		if reads {
 			var cancel context.CancelFunc
 			directCtx, cancel = context.WithCancel(ctx)
 			defer cancel() // a reply that nobody reads would take room on the link
 		}
-		v, err := callDirectHedged(directCtx, s, wait, timeout, direct)
+		d := startDirect(directCtx, s, wait, timeout, direct)
+		v, err := d.await(s, wait, reads)
+		if errors.Is(err, errLongReply) {
+			return raceLongReply(ctx, s, d, timeout, call, decode)
+		}
 		if !pathFailed(err) {
 			return v, err
 		}
@@ -180,45 +190,107 @@
 	return v, err
 }
 
-// callDirectHedged makes a call on the direct path. It returns errDirectTimeout if no part
-// of the reply has come within the hedge delay, or none since the last one, unless there
-// is no other path; it waits for the reply then.
-func callDirectHedged[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error)) (T, error) {
-	type result struct {
-		v   T
-		err error
-	}
-	results, parts := make(chan result, 1), make(chan struct{}, 1)
-	ctx = timekeeper.Watch(ctx, func() {
+// probeDirect makes a call on the direct path to find out whether it works. A read needs no more of
+// its reply for that than the first longReplyBytes.
+func probeDirect[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error), reads bool) {
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var length atomic.Int64
+	callCtx := timekeeper.Watch(readCtx, func(n int) {
+		if reads && length.Add(int64(n)) >= longReplyBytes && readCtx.Err() == nil {
+			s.recordDirectResult(ctx, nil)
+			cancel()
+		}
+	})
+	_, _ = callDirect(callCtx, s, wait, timeout, direct) // records its result
+}
+
+type result[T any] struct {
+	v   T
+	err error
+}
+
+// directCall is a call that is in progress on the direct path.
+type directCall[T any] struct {
+	results chan result[T]
+	parts   chan struct{} // tells that a part of the reply has arrived
+	length  atomic.Int64  // of the reply, so far
+}
+
+func startDirect[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error)) *directCall[T] {
+	d := &directCall[T]{results: make(chan result[T], 1), parts: make(chan struct{}, 1)}
+	ctx = timekeeper.Watch(ctx, func(n int) {
+		d.length.Add(int64(n))
 		select {
-		case parts <- struct{}{}:
+		case d.parts <- struct{}{}:
 		default:
 		}
 	})
 	go func() {
 		v, err := callDirect(ctx, s, wait, timeout, direct)
-		results <- result{v: v, err: err}
+		d.results <- result[T]{v: v, err: err}
 	}()
+	return d
+}
+
+// await returns the result of the call. Unless there is no other path, it returns
+// errDirectTimeout if no part of the reply has come within the hedge delay, or none since the
+// last one, and errLongReply for a read whose reply is long.
+func (d *directCall[T]) await(s *Store, wait time.Duration, reads bool) (T, error) {
+	var zero T
 	delay := s.hedgeDelay()
 	hedgeAt := time.Now().Add(wait + delay)
 	timer := time.NewTimer(wait + delay)
 	defer timer.Stop()
-	for late := false; !late; {
+	for {
 		select {
-		case res := <-results:
+		case res := <-d.results:
 			return res.v, res.err
-		case <-parts:
+		case <-d.parts:
 			timer.Reset(max(delay, time.Until(hedgeAt)))
+			if reads && d.length.Load() >= longReplyBytes && len(s.Links()) > 0 {
+				return zero, errLongReply
+			}
+			continue
 		case <-timer.C:
-			late = true
 		}
+		if len(s.Links()) == 0 {
+			res := <-d.results
+			return res.v, res.err
+		}
+		return zero, errDirectTimeout
 	}
-	if len(s.Links()) == 0 {
-		res := <-results
+}
+
+// raceLongReply also makes a call through a linked process while its reply arrives on the direct
+// path, and returns the reply that is complete first.
+func raceLongReply[T any](ctx context.Context, s *Store, d *directCall[T], timeout time.Duration, call any,
+	decode func(*framer.Relayed) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	link := s.currentLink()
+	if link == nil {
+		res := <-d.results
+		return res.v, res.err
+	}
+	relayed := make(chan result[T], 1)
+	go func() {
+		v, err := callRelayed(ctx, link, timeout+relayMargin, call, decode)
+		relayed <- result[T]{v: v, err: err}
+	}()
+	select {
+	case res := <-d.results:
+		if pathFailed(res.err) {
+			res = <-relayed
+		}
+		return res.v, res.err
+	case res := <-relayed:
+		if pathFailed(res.err) {
+			s.advanceLink()
+			res = <-d.results
+		}
 		return res.v, res.err
 	}
-	var zero T
-	return zero, errDirectTimeout
 }
 
 // currentLink returns the link to use, which is the one that worked last, or nil if there
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -38,7 +38,7 @@
 	parts   int
 }
 
-func (c *feedCall) recordPart() {
+func (c *feedCall) recordPart(int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.parts == 0 {
--- a/internal/process/timekeeper/bounds.go
+++ b/internal/process/timekeeper/bounds.go
@@ -23,7 +23,7 @@
 	var mu sync.Mutex // guards ended
 	ended := false
 	timer := time.AfterFunc(b.First, cancel)
-	ctx = Watch(ctx, func() {
+	ctx = Watch(ctx, func(int) {
 		mu.Lock()
 		defer mu.Unlock()
 		if !ended {
--- a/internal/process/timekeeper/timekeeper.go
+++ b/internal/process/timekeeper/timekeeper.go
@@ -5,7 +5,7 @@
 //
 // The caller watches the reply, or bounds the call:
 //
-//	ctx = timekeeper.Watch(ctx, func() { arrived++ })
+//	ctx = timekeeper.Watch(ctx, func(n int) { arrived += n })
 //	ctx, cancel := timekeeper.Bounds{First: time.Second, Stall: time.Second, Whole: 20 * time.Second}.Start(ctx)
 //	defer cancel()
 //
@@ -22,22 +22,24 @@
 type contextKey struct{}
 
 // Watch returns a context for a call. f is called, on any goroutine, each time that a part of the
-// call's reply has arrived, after the functions of contexts that ctx was made from.
-func Watch(ctx context.Context, f func()) context.Context {
-	outer, _ := ctx.Value(contextKey{}).(func())
+// call's reply has arrived, with its length in bytes, after the functions of contexts that ctx was
+// made from.
+func Watch(ctx context.Context, f func(n int)) context.Context {
+	outer, _ := ctx.Value(contextKey{}).(func(int))
 	if outer == nil {
 		return context.WithValue(ctx, contextKey{}, f)
 	}
-	return context.WithValue(ctx, contextKey{}, func() {
-		outer()
-		f()
+	return context.WithValue(ctx, contextKey{}, func(n int) {
+		outer(n)
+		f(n)
 	})
 }
 
-// Report tells those that watch a call that a part of its reply has arrived.
-func Report(ctx context.Context) {
-	if f, _ := ctx.Value(contextKey{}).(func()); f != nil {
-		f()
+// Report tells those that watch a call that a part of its reply has arrived. Its length doesn't
+// count the reply's header.
+func Report(ctx context.Context, n int) {
+	if f, _ := ctx.Value(contextKey{}).(func(int)); f != nil {
+		f(n)
 	}
 }
 
@@ -55,7 +57,7 @@
 func (r reader) Read(p []byte) (int, error) {
 	n, err := r.r.Read(p)
 	if n > 0 {
-		Report(r.ctx)
+		Report(r.ctx, n)
 	}
 	return n, err
 }
--- a/internal/process/timekeeper/timekeeper_test.go
+++ b/internal/process/timekeeper/timekeeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -37,7 +38,7 @@
 				go func() {
 					for _, at := range tt.parts {
 						time.Sleep(at - time.Since(startedAt))
-						timekeeper.Report(ctx)
+						timekeeper.Report(ctx, 1)
 					}
 				}()
 				<-ctx.Done()
@@ -59,11 +60,11 @@
 // watches may report parts.
 func TestWatchers(t *testing.T) {
 	var told []string
-	ctx := timekeeper.Watch(context.Background(), func() { told = append(told, "outer") })
-	ctx = timekeeper.Watch(ctx, func() { told = append(told, "inner") })
+	ctx := timekeeper.Watch(context.Background(), func(n int) { told = append(told, fmt.Sprint("outer ", n)) })
+	ctx = timekeeper.Watch(ctx, func(n int) { told = append(told, fmt.Sprint("inner ", n)) })
 	text, err := io.ReadAll(timekeeper.Reader(ctx, strings.NewReader("text")))
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), "text")
-	assert.Equal(t, strings.Join(told, " "), "outer inner")
-	timekeeper.Report(context.Background())
+	assert.Equal(t, strings.Join(told, " "), "outer 4 inner 4")
+	timekeeper.Report(context.Background(), 1)
 }
