Feeds: a reply in chunks is reported in small parts

A reply that arrived at 100 KB a second was given up after 3.7 s: a chunked body fills the reader's buffer, and that of io.ReadAll grows, so that the parts were reported 0.4, 0.6, 0.8 and then 1 s apart. The reader takes 4 KB at a time. TestPartsOfAReaderThatFillsItsBuffer failed before.

--- a/internal/process/timekeeper/timekeeper.go
+++ b/internal/process/timekeeper/timekeeper.go
@@ -19,6 +19,9 @@
 	"io"
 )
 
+// maxPart is the most that is read at a time: a chunked body fills the buffer before it returns.
+const maxPart = 4 << 10
+
 type contextKey struct{}
 
 // Watch returns a context for a call. f is called, on any goroutine, each time that a part of the
@@ -55,7 +58,7 @@
 
 // Read implements io.Reader.
 func (r reader) Read(p []byte) (int, error) {
-	n, err := r.r.Read(p)
+	n, err := r.r.Read(p[:min(len(p), maxPart)])
 	if n > 0 {
 		Report(r.ctx, n)
 	}
--- a/internal/process/timekeeper/timekeeper_test.go
+++ b/internal/process/timekeeper/timekeeper_test.go
@@ -56,6 +56,32 @@
 	return at
 }
 
+// fillingReader returns only once it has filled the buffer, and takes a second for 8 KB.
+type fillingReader struct{ left int }
+
+// Read implements io.Reader.
+func (r *fillingReader) Read(p []byte) (int, error) {
+	n := min(len(p), r.left)
+	time.Sleep(time.Duration(n) * time.Second / (8 << 10))
+	r.left -= n
+	if n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// TestPartsOfAReaderThatFillsItsBuffer reads 64 KB in 8 s. The buffer of io.ReadAll grows, so that
+// parts came at ever longer intervals.
+func TestPartsOfAReaderThatFillsItsBuffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := bounds.Start(t.Context())
+		defer cancel()
+		_, err := io.ReadAll(timekeeper.Reader(ctx, &fillingReader{left: 64 << 10}))
+		assert.NilError(t, err)
+		assert.NilError(t, ctx.Err())
+	})
+}
+
 // TestWatchers checks that a part is told to all that watch a call, and that a call that nobody
 // watches may report parts.
 func TestWatchers(t *testing.T) {
