Configuration: a router with an overdue change refuses instead of answering by what it has

A router has all changes up to the last complete reply of its feed. While that is younger than 2.5 s, no change can be overdue. After that a router to which a reply is arriving refuses all requests as not run, which also frees its link, and one to which nothing arrives (the store may be away for all) serves what its configuration allows but answers 503 instead of 404 and 401. For 402 this held already. package inspector decides; line 316 logs it.

TestReadinessFollowsRotation gives its bare gateway a current configuration, as it asks for a 404.

--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -13,6 +13,7 @@
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/storer"
 	"github.com/egretroute/egretroute/internal/process/timekeeper"
+	"github.com/egretroute/egretroute/internal/version/inspector"
 	"github.com/egretroute/egretroute/internal/version/matcher"
 )
 
@@ -36,15 +37,29 @@
 	mu      sync.Mutex // guards the fields below
 	firstAt time.Time
 	parts   int
+	bytes   int
 }
 
-func (c *feedCall) recordPart(int) {
+// recordPart reports whether the reply has changes in it.
+func (c *feedCall) recordPart(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.parts == 0 {
 		c.firstAt = time.Now()
 	}
 	c.parts++
+	c.bytes += n
+	return c.bytes >= inspector.MinReplyBytes
+}
+
+// repliedAt returns when the reply began to arrive, at the latest now.
+func (c *feedCall) repliedAt(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.parts == 0 {
+		return now
+	}
+	return c.firstAt
 }
 
 // times returns how long the call waited for the first part of its reply and then read until now.
@@ -74,6 +89,8 @@
 	// replace is called with all rows of the table, change with one changed row.
 	replace func(rows []storer.Row, stable bool)
 	change  func(row storer.Row, stable bool)
+	// currency, if set, is told of the replies.
+	currency *currency
 }
 
 // follow lists a table and then watches its changes until ctx ends. It lists the
@@ -86,7 +103,11 @@
 		var batch storer.RowBatch
 		var err error
 		call := &feedCall{startedAt: time.Now()}
-		callCtx := timekeeper.Watch(ctx, call.recordPart)
+		callCtx := timekeeper.Watch(ctx, func(n int) {
+			if call.recordPart(n) && f.currency != nil {
+				f.currency.recordArrival(time.Now())
+			}
+		})
 		if listed {
 			batch, err = g.store.Watch(callCtx, f.table, next, cmp.Or(f.wait, feedWait))
 		} else {
@@ -116,6 +137,9 @@
 		} else {
 			f.replace(batch.Rows, stable)
 		}
+		if f.currency != nil {
+			f.currency.recordReply(call.repliedAt(now))
+		}
 		if applied := time.Since(now); call.startedAt.Add(slowFeedCall).Before(now.Add(applied)) && len(batch.Rows) > 0 {
 			waited, read, parts := call.times(now)
 			logger.FeedSlow.Log(g.Log, "table", f.table, "version", batch.Next.Version, "rows", len(batch.Rows), "waitedMs", waited.Milliseconds(),
@@ -158,7 +182,7 @@
 		g.applyDrain(row)
 	}
 	g.follow(ctx, tableFollower{
-		table: g.Schema.ConfigurationTable, change: change,
+		table: g.Schema.ConfigurationTable, change: change, currency: &g.currency,
 		replace: func(rows []storer.Row, stable bool) {
 			g.replaceDrains(rows, g.era.Load())
 			for _, row := range rows {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -167,6 +167,7 @@
 	// forwarding counts those that are being forwarded to targets or wait for one.
 	forwarding   atomic.Int64
 	feeds        sync.Map // table to feedState
+	currency     currency
 	clientServer *http.Server
 	listener     *receiver.Listener
 	// clients bounds clients' connections; levelLoggedAt is when its level was last logged.
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -156,6 +156,9 @@
 // handle admits, forwards and settles a request. It returns what forward returns, or a
 // refusal if the request was not forwarded.
 func (g *Gateway) handle(out *clientResponse, q *request) *refusal {
+	if ref := g.refuseIfLate(out.w.Header(), time.Now()); ref != nil {
+		return ref
+	}
 	if ref := g.admit(q); ref != nil {
 		return ref
 	}
@@ -266,11 +269,11 @@
 	path, _, _ := strings.Cut(uri, "?")
 	route, ok := m.Route(q.http.Host, path)
 	if !ok {
-		return &refusal{status: http.StatusNotFound, reason: "no route"}
+		return g.refuseUnknown(http.StatusNotFound, "no route", time.Now())
 	}
 	q.route, q.priority = route, route.Priority
-	if ref := q.authorize(); ref != nil {
-		return ref
+	if !q.authorize() {
+		return g.refuseUnknown(http.StatusUnauthorized, "unknown key", time.Now())
 	}
 	q.setDeadline()
 	if ref := g.readBody(q); ref != nil {
@@ -287,11 +290,12 @@
 	return nil
 }
 
-// authorize sets the organisation to which the request's key belongs. Public routes
-// need no key, and none is checked if the configuration has no organisations.
-func (q *request) authorize() *refusal {
+// authorize sets the organisation to which the request's key belongs and reports whether
+// the request may be served. Public routes need no key, and none is checked if the
+// configuration has no organisations.
+func (q *request) authorize() bool {
 	if len(q.matcher.Document.Organisations) == 0 {
-		return nil
+		return true
 	}
 	organisation, ok := q.matcher.Organisation(q.Key)
 	switch {
@@ -301,9 +305,9 @@
 			q.priority = organisation.Priority
 		}
 	case !q.route.Public:
-		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+		return false
 	}
-	return nil
+	return true
 }
 
 // setDeadline sets the earlier one of the client's deadline and the route's.
--- a/internal/process/gateway/rotation_test.go
+++ b/internal/process/gateway/rotation_test.go
@@ -35,6 +35,7 @@
 	g.crashesKnown.Store(true)
 	g.targets.Replace(nil, time.Now(), true)
 	now := time.Now()
+	g.currency.recordReply(now)
 	for _, name := range []string{"large", "b", "c", "d", "e", "f", "g", "h", "i"} {
 		g.peers.add(enroller.Member{Name: name, Incarnation: name + "@1", Kind: enroller.Router, Domain: "d"})
 		g.peers.setRotation(name, rotator.Report{Phase: rotator.In, Load: rotator.Load{LinkRate: 200}}, now)
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -64,6 +64,7 @@
 	ConfigurationApplied      = Event{313, slog.LevelInfo, "configuration document applied", "none"}
 	ConfigurationUnreadable   = Event{314, slog.LevelError, "configuration document is unreadable", "check that the gateway's release supports the document's format"}
 	FeedSlow                  = Event{315, slog.LevelInfo, "call of a change feed brought rows slowly", "see waitedMs, readMs, appliedMs and lag: the store, the link or this process was slow"}
+	ConfigurationLate         = Event{316, slog.LevelWarn, "a change of the configuration is overdue: all requests are refused until it is in use", "see age and lag; the link or the processor of the host is too small for its clients"}
 	TargetsListed             = Event{320, slog.LevelInfo, "complete list of targets read", "none"}
 	TargetUpdated             = Event{321, slog.LevelInfo, "target entry changed", "none"}
 	TargetRemoved             = Event{322, slog.LevelInfo, "target entry removed", "none"}
@@ -140,7 +141,7 @@
 	IncarnationFenced, AgentLinked, AgentLost, PeerLinked, PeerLost, HolderSuspected, HolderRecovered, HolderStuck, HolderUnreadable,
 	AnswerBroken, RequestOutcomeUnknown, OperatorRefused, PatchApplied, SlotReleased, SlotStuck,
 	GatewayStarted, GatewayDraining, GatewayStopped, MetricsServerFailed, SettingsReloaded, SettingsRefused, CompanionStarted, CompanionStopped, MemberEnrolled, FeedFailed, FeedRecovered, FeedReset,
-	ConfigurationApplied, ConfigurationUnreadable, FeedSlow, TargetsListed, TargetUpdated, TargetRemoved, TargetUnreadable, StoreDirectPathLost, StoreDirectPathRestored, MemberUnreadable,
+	ConfigurationApplied, ConfigurationUnreadable, FeedSlow, ConfigurationLate, TargetsListed, TargetUpdated, TargetRemoved, TargetUnreadable, StoreDirectPathLost, StoreDirectPathRestored, MemberUnreadable,
 	RowsFetchedFromPeer,
 	AttemptFailed, TargetRefused, TargetFailed, NoTargetInTime, StreamResumed, TargetCrashedUnderRequest, PoisonRefused, CrashesLearned, SuspicionCleared, TargetEndless, RequestEnded, RequestNotAnswered, BudgetRefused, TokensLent, LoanUnreported,
 	TargetLeaving, TargetPaused, TargetsPaused,
