Feeds: what the review of the bounds by progress found

- A read whose parts came 0.6 s apart still failed after 0.6 s, as the direct call was given up with the hedge (TestReplyInPartsIsAbandoned).
The direct and the relayed call of a read are raced now, and one that fails leaves the other.
- The transfer of a long list counted as the store's call time: the next commit on a silent path took 3.0 s instead of 0.4 s (TestTransferCountsAsCallTime).
- Up to 8 probes of a failed path ran at once, and their parts were reported to callers whose calls had returned (TestProbesPileUp).
- A commit could last 21 s while its reply arrived (TestCommitOfALongReplyIsBounded).
Only reads are bounded by progress.
- Decompression was bounded by row, not by reply.

--- a/internal/connection/relayer/codec.go
+++ b/internal/connection/relayer/codec.go
@@ -47,11 +47,13 @@
 
 func decodeRowBatch(r *framer.Relayed) (storer.RowBatch, error) {
 	batch := storer.RowBatch{Next: storer.Position{Era: storer.Era(r.Era), Version: r.Version}}
+	limit := maxReplyBytes
 	for _, row := range r.Rows {
-		row, err := decompress(row)
+		row, err := decompress(row, limit)
 		if err != nil {
 			return storer.RowBatch{}, errors.Wrap(storer.ErrUnavailable, err.Error())
 		}
+		limit = max(limit-len(row.Value), 0)
 		batch.Rows = append(batch.Rows, decodeRow(row, batch.Next.Era))
 	}
 	return batch, decodeError(r)
--- a/internal/connection/relayer/compressor.go
+++ b/internal/connection/relayer/compressor.go
@@ -14,12 +14,12 @@
 const (
 	// minCompressedBytes is the length from which values are compressed.
 	minCompressedBytes = 16 << 10
-	// maxRowBytes bounds a value after decompression. The platform's API documentation caps a
-	// read at 1 MB plus one row.
-	maxRowBytes = 16 << 20
+	// maxReplyBytes bounds the values of a reply after decompression. The platform's API
+	// documentation caps a read at 1 MB plus one row.
+	maxReplyBytes = 16 << 20
 )
 
-var errRowTooLong = errors.New("relayed row is too long")
+var errReplyTooLong = errors.New("relayed rows are too long")
 
 // compressor compresses the values of rows. It keeps the last one, because all routers ask for
 // the same change.
@@ -64,17 +64,17 @@
 	return b.Bytes(), nil
 }
 
-// decompress returns the row with its value as it is in the store.
-func decompress(r framer.RowValue) (framer.RowValue, error) {
+// decompress returns the row with its value as it is in the store, which may be limit bytes long.
+func decompress(r framer.RowValue, limit int) (framer.RowValue, error) {
 	if !r.Compressed {
 		return r, nil
 	}
-	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Value)), maxRowBytes+1))
+	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Value)), int64(limit)+1))
 	if err != nil {
 		return r, errors.Wrap(err, "decompress row")
 	}
-	if len(value) > maxRowBytes {
-		return r, errRowTooLong
+	if len(value) > limit {
+		return r, errReplyTooLong
 	}
 	r.Value, r.Compressed = value, false
 	return r, nil
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -27,6 +27,9 @@
 	Direct Backend
 	// Links returns links to processes that may reach the store, best first.
 	Links func() []*linker.Link
+	// WideLinks, if set, returns those of them whose processes have a wider path to the store
+	// than this one. Reads with long replies are also made over them.
+	WideLinks func() []*linker.Link
 	// OnLost is called when the direct path starts to fail, OnRestored when it works again.
 	OnLost     func(err error)
 	OnRestored func()
@@ -34,6 +37,7 @@
 	mu            sync.Mutex // guards the fields below
 	directFailing bool
 	nextProbe     time.Time
+	probes        int // in progress
 	// callTime is the recent call time of the store; see callTimeDecay.
 	callTime time.Duration
 	// directRepliedAt is when the store last replied to any call on the direct path.
@@ -116,13 +120,17 @@
 	var zero T
 	lastErr := errors.Wrap(storer.ErrRefused, "the direct path fails")
 	timeout, startedAt := wait+s.callTimeout(), time.Now()
-	useDirect, probe := s.tryDirect()
 	_, reads := call.(*framer.RelayWatch)
+	limits := callLimits{wait: wait, bounds: commitBounds(timeout)}
+	if reads {
+		limits.bounds = readBounds(timeout)
+	}
+	useDirect, probe := s.tryDirect()
 	if probe {
 		// A call may be made on both paths, so the call itself serves as the probe. It
 		// may take effect whatever the outcome on the other path is.
 		lastErr = errors.Wrap(storer.ErrUnavailable, "the direct path is only probed")
-		go probeDirect(context.WithoutCancel(ctx), s, wait, timeout, direct, reads)
+		go probeDirect(context.WithoutCancel(timekeeper.Detach(ctx)), s, limits, direct, reads)
 	}
 	if useDirect {
 		directCtx := ctx
@@ -131,12 +139,15 @@
 			directCtx, cancel = context.WithCancel(ctx)
 			defer cancel() // a reply that nobody reads would take room on the link
 		}
-		d := startDirect(directCtx, s, wait, timeout, direct)
+		d := startDirect(directCtx, s, limits, direct)
 		v, err := d.await(s, wait, reads)
-		if errors.Is(err, errLongReply) {
-			return raceLongReply(ctx, s, d, timeout, call, decode)
-		}
-		if !pathFailed(err) {
+		switch {
+		case errors.Is(err, errLongReply):
+			v, _, err := raceRelayed(ctx, d, d.wide, limits.relayed(), call, decode)
+			return v, err
+		case errors.Is(err, errDirectTimeout) && reads:
+			return raceLateReply(ctx, s, d, startedAt, limits.relayed(), call, decode)
+		case !pathFailed(err):
 			return v, err
 		}
 		lastErr = err
@@ -145,7 +156,7 @@
 	if link == nil || ctx.Err() != nil {
 		return zero, lastErr
 	}
-	v, err := callRelayed(ctx, link, timeout+relayMargin, call, decode)
+	v, err := callRelayed(ctx, link, limits.relayed(), call, decode)
 	if pathFailed(err) {
 		s.advanceLink()
 		if errors.Is(lastErr, storer.ErrUnavailable) && !errors.Is(err, storer.ErrUnavailable) {
@@ -159,15 +170,32 @@
 	return v, err
 }
 
-// bound returns the bounds of a call whose reply begins to arrive within the timeout.
-func bound(timeout time.Duration) timekeeper.Bounds {
+// callLimits bound a call.
+type callLimits struct {
+	// wait is how long the store may block the call.
+	wait   time.Duration
+	bounds timekeeper.Bounds
+}
+
+// relayed returns the bounds of the same call through another process.
+func (l callLimits) relayed() timekeeper.Bounds {
+	return timekeeper.Bounds{First: l.bounds.First + relayMargin, Stall: l.bounds.Stall, Whole: l.bounds.Whole + relayMargin}
+}
+
+// readBounds returns the bounds of a read whose reply begins to arrive within the timeout.
+func readBounds(timeout time.Duration) timekeeper.Bounds {
 	return timekeeper.Bounds{First: timeout, Stall: maxTimeout, Whole: timeout + maxTransferTime}
 }
 
+// commitBounds returns the bounds of a commit: its reply is short.
+func commitBounds(timeout time.Duration) timekeeper.Bounds {
+	return timekeeper.Bounds{First: timeout, Stall: timeout, Whole: timeout}
+}
+
 // callRelayed makes a call through another process.
-func callRelayed[T any](ctx context.Context, link *linker.Link, timeout time.Duration, call any,
+func callRelayed[T any](ctx context.Context, link *linker.Link, bounds timekeeper.Bounds, call any,
 	decode func(*framer.Relayed) (T, error)) (T, error) {
-	callCtx, cancel := bound(timeout).Start(ctx)
+	callCtx, cancel := bounds.Start(ctx)
 	defer cancel()
 	reply, err := linker.Call[*framer.Relayed](callCtx, link, call)
 	if err != nil {
@@ -177,14 +205,19 @@
 	return decode(reply)
 }
 
-// callDirect makes a call on the direct path and records whether the path works.
-func callDirect[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error)) (T, error) {
-	callCtx, cancel := bound(timeout).Start(ctx)
+// callDirect makes a call on the direct path and records whether the path works, and how long the
+// store took: the transfer of a long reply says nothing of that.
+func callDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context) (T, error)) (T, error) {
+	callCtx, cancel := limits.bounds.Start(ctx)
 	defer cancel()
 	startedAt := time.Now()
+	var first sync.Once
+	repliedAt := time.Time{}
+	callCtx = timekeeper.Watch(callCtx, func(int) { first.Do(func() { repliedAt = time.Now() }) })
 	v, err := direct(callCtx)
-	if wait == 0 && !pathFailed(err) {
-		s.recordCallTime(time.Since(startedAt))
+	if limits.wait == 0 && !pathFailed(err) {
+		first.Do(func() { repliedAt = time.Now() })
+		s.recordCallTime(repliedAt.Sub(startedAt))
 	}
 	s.recordDirectResult(ctx, err)
 	return v, err
@@ -192,7 +225,8 @@
 
 // probeDirect makes a call on the direct path to find out whether it works. A read needs no more of
 // its reply for that than the first longReplyBytes.
-func probeDirect[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error), reads bool) {
+func probeDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context) (T, error), reads bool) {
+	defer s.endProbe()
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var length atomic.Int64
@@ -202,7 +236,7 @@
 			cancel()
 		}
 	})
-	_, _ = callDirect(callCtx, s, wait, timeout, direct) // records its result
+	_, _ = callDirect(callCtx, s, limits, direct) // records its result
 }
 
 type result[T any] struct {
@@ -215,9 +249,10 @@
 	results chan result[T]
 	parts   chan struct{} // tells that a part of the reply has arrived
 	length  atomic.Int64  // of the reply, so far
+	wide    *linker.Link  // set with errLongReply: the link for the call
 }
 
-func startDirect[T any](ctx context.Context, s *Store, wait, timeout time.Duration, direct func(context.Context) (T, error)) *directCall[T] {
+func startDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context) (T, error)) *directCall[T] {
 	d := &directCall[T]{results: make(chan result[T], 1), parts: make(chan struct{}, 1)}
 	ctx = timekeeper.Watch(ctx, func(n int) {
 		d.length.Add(int64(n))
@@ -227,7 +262,7 @@
 		}
 	})
 	go func() {
-		v, err := callDirect(ctx, s, wait, timeout, direct)
+		v, err := callDirect(ctx, s, limits, direct)
 		d.results <- result[T]{v: v, err: err}
 	}()
 	return d
@@ -248,8 +283,10 @@
 			return res.v, res.err
 		case <-d.parts:
 			timer.Reset(max(delay, time.Until(hedgeAt)))
-			if reads && d.length.Load() >= longReplyBytes && len(s.Links()) > 0 {
-				return zero, errLongReply
+			if reads && d.length.Load() >= longReplyBytes {
+				if d.wide = s.wideLink(); d.wide != nil {
+					return zero, errLongReply
+				}
 			}
 			continue
 		case <-timer.C:
@@ -262,35 +299,47 @@
 	}
 }
 
-// raceLongReply also makes a call through a linked process while its reply arrives on the direct
-// path, and returns the reply that is complete first.
-func raceLongReply[T any](ctx context.Context, s *Store, d *directCall[T], timeout time.Duration, call any,
+// raceLateReply also makes a read through a linked process whose reply is late on the direct path.
+func raceLateReply[T any](ctx context.Context, s *Store, d *directCall[T], startedAt time.Time, bounds timekeeper.Bounds, call any,
 	decode func(*framer.Relayed) (T, error)) (T, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	link := s.currentLink()
 	if link == nil {
 		res := <-d.results
 		return res.v, res.err
 	}
+	v, relayed, err := raceRelayed(ctx, d, link, bounds, call, decode)
+	switch {
+	case !relayed || pathFailed(err):
+		s.advanceLink()
+	case d.length.Load() == 0:
+		s.recordRelayedFirst(startedAt)
+	}
+	return v, err
+}
+
+// raceRelayed also makes a call through a linked process while it is in progress on the direct
+// path. It returns the reply that is complete first and whether that is the relayed one.
+func raceRelayed[T any](ctx context.Context, d *directCall[T], link *linker.Link, bounds timekeeper.Bounds, call any,
+	decode func(*framer.Relayed) (T, error)) (v T, relayedFirst bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	relayed := make(chan result[T], 1)
 	go func() {
-		v, err := callRelayed(ctx, link, timeout+relayMargin, call, decode)
+		v, err := callRelayed(ctx, link, bounds, call, decode)
 		relayed <- result[T]{v: v, err: err}
 	}()
+	var res result[T]
+	other := d.results
 	select {
-	case res := <-d.results:
-		if pathFailed(res.err) {
-			res = <-relayed
-		}
-		return res.v, res.err
-	case res := <-relayed:
-		if pathFailed(res.err) {
-			s.advanceLink()
-			res = <-d.results
-		}
-		return res.v, res.err
+	case res = <-d.results:
+		other = relayed
+	case res = <-relayed:
+		relayedFirst = true
+	}
+	if pathFailed(res.err) {
+		res, relayedFirst = <-other, !relayedFirst
 	}
+	return res.v, relayedFirst, res.err
 }
 
 // currentLink returns the link to use, which is the one that worked last, or nil if there
@@ -305,6 +354,18 @@
 	return links[s.failedLinks%len(links)]
 }
 
+// wideLink returns the link for reads with long replies, or nil if there is none.
+func (s *Store) wideLink() *linker.Link {
+	if s.WideLinks == nil {
+		return nil
+	}
+	links := s.WideLinks()
+	if len(links) == 0 {
+		return nil
+	}
+	return links[0]
+}
+
 // advanceLink selects the next link after a failure.
 func (s *Store) advanceLink() {
 	s.mu.Lock()
@@ -326,13 +387,20 @@
 	if !s.directFailing {
 		return true, false
 	}
-	if now := time.Now(); now.After(s.nextProbe) {
+	if now := time.Now(); now.After(s.nextProbe) && s.probes < maxProbes {
 		s.nextProbe = now.Add(probeInterval)
+		s.probes++
 		return false, true
 	}
 	return false, false
 }
 
+func (s *Store) endProbe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probes--
+}
+
 func (s *Store) recordDirectResult(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
--- a/internal/process/timekeeper/timekeeper.go
+++ b/internal/process/timekeeper/timekeeper.go
@@ -38,6 +38,11 @@
 	})
 }
 
+// Detach returns a context whose calls nobody watches.
+func Detach(ctx context.Context) context.Context {
+	return context.WithValue(ctx, contextKey{}, nil)
+}
+
 // Report tells those that watch a call that a part of its reply has arrived. Its length doesn't
 // count the reply's header.
 func Report(ctx context.Context, n int) {
