Configuration: the age of a reply counts from when the store made it

It counts from the call's start now, or for a reply without changes from the end of the wait, at which the store answers (TestAgeOfAReply).

The verdict is taken before the configuration is read. TestChangeThatArrivesSlowlyIsOverdue asks for 503 and then 401, and TestRoutersServeWhileTheStoreIsSilent for an unknown key too.

--- a/internal/process/gateway/currency.go
+++ b/internal/process/gateway/currency.go
@@ -64,9 +64,9 @@
 }
 
 // refuseUnknown refuses a request that the configuration doesn't know, with the given status if no
-// change can be overdue.
-func (g *Gateway) refuseUnknown(status int, reason string, now time.Time) *refusal {
-	if g.currency.inspect(now) != inspector.Current {
+// change can be overdue. The verdict is from before the configuration was read.
+func (g *Gateway) refuseUnknown(verdict inspector.Verdict, status int, reason string) *refusal {
+	if verdict != inspector.Current {
 		return g.lateRefusal(reason + ", and the configuration may be old")
 	}
 	return &refusal{status: status, reason: reason}
--- a/internal/process/gateway/follow.go
+++ b/internal/process/gateway/follow.go
@@ -33,33 +33,53 @@
 // feedCall records how the reply to a call arrives. recordPart may be called on any goroutine.
 type feedCall struct {
 	startedAt time.Time
+	wait      time.Duration // the store may hold the call open for
 
 	mu      sync.Mutex // guards the fields below
 	firstAt time.Time
 	parts   int
 	bytes   int
+	ended   bool
 }
 
-// recordPart reports whether the reply has changes in it.
-func (c *feedCall) recordPart(n int) bool {
+// recordPart reports whether the reply has changes in it and the call still waits for it.
+func (c *feedCall) recordPart(now time.Time, n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended {
+		return false
+	}
 	if c.parts == 0 {
-		c.firstAt = time.Now()
+		c.firstAt = now
 	}
 	c.parts++
 	c.bytes += n
 	return c.bytes >= inspector.MinReplyBytes
 }
 
-// repliedAt returns when the reply began to arrive, at the latest now.
-func (c *feedCall) repliedAt(now time.Time) time.Time {
+// end records that the call has returned: parts that still arrive are of no use.
+func (c *feedCall) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.parts == 0 {
-		return now
+	c.ended = true
+}
+
+// currentAt returns a time up to which the reply has all changes. The store makes a reply with
+// changes at some time after the call's start, and one without after the wait.
+func (c *feedCall) currentAt(now time.Time, empty bool) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !empty {
+		return c.startedAt
+	}
+	at := c.startedAt.Add(c.wait)
+	if at.After(now) {
+		at = now
+	}
+	if c.parts > 0 && at.After(c.firstAt) {
+		at = c.firstAt
 	}
-	return c.firstAt
+	return at
 }
 
 // times returns how long the call waited for the first part of its reply and then read until now.
@@ -103,17 +123,21 @@
 		var batch storer.RowBatch
 		var err error
 		call := &feedCall{startedAt: time.Now()}
+		if listed {
+			call.wait = cmp.Or(f.wait, feedWait)
+		}
 		callCtx := timekeeper.Watch(ctx, func(n int) {
-			if call.recordPart(n) && f.currency != nil {
+			if call.recordPart(time.Now(), n) && f.currency != nil {
 				f.currency.recordArrival(time.Now())
 			}
 		})
 		if listed {
-			batch, err = g.store.Watch(callCtx, f.table, next, cmp.Or(f.wait, feedWait))
+			batch, err = g.store.Watch(callCtx, f.table, next, call.wait)
 		} else {
 			batch, err = g.store.List(callCtx, f.table)
 		}
 		now := time.Now()
+		call.end()
 		switch {
 		case errors.Is(err, storer.ErrHistoryLost):
 			logger.FeedReset.Log(g.Log, "table", f.table, "version", next.Version, "era", next.Era, "cause", err)
@@ -138,7 +162,7 @@
 			f.replace(batch.Rows, stable)
 		}
 		if f.currency != nil {
-			f.currency.recordReply(call.repliedAt(now))
+			f.currency.recordReply(call.currentAt(now, len(batch.Rows) == 0))
 		}
 		if applied := time.Since(now); call.startedAt.Add(slowFeedCall).Before(now.Add(applied)) && len(batch.Rows) > 0 {
 			waited, read, parts := call.times(now)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -242,7 +242,7 @@
 	g.crashes.Suspecter, g.crashes.Scope = g.suspects, suspecter.Own
 	g.peers = g.newPeerLinks()
 	g.store = &storer.Guard{
-		Store: &relayer.Store{Direct: g.Store, Links: g.peers.links, OnLost: g.onDirectLost, OnRestored: g.onDirectRestored},
+		Store: &relayer.Store{Direct: g.Store, Links: g.peers.links, WideLinks: g.peers.companionLinks, OnLost: g.onDirectLost, OnRestored: g.onDirectRestored},
 		OnEra: g.onEra, OnStale: g.onStaleReply,
 	}
 	g.recorder, g.enrollAgain = recorder.New(time.Now), make(chan struct{}, 1)
--- a/internal/process/gateway/handler.go
+++ b/internal/process/gateway/handler.go
@@ -250,6 +250,7 @@
 // admit decodes, routes and authorizes a request and reads its body. It returns a
 // refusal if the request can't be served.
 func (g *Gateway) admit(q *request) *refusal {
+	verdict := g.currency.inspect(time.Now())
 	m := g.matcher.Load()
 	if m == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration known", retryAfter: startRetryAfter}
@@ -269,11 +270,11 @@
 	path, _, _ := strings.Cut(uri, "?")
 	route, ok := m.Route(q.http.Host, path)
 	if !ok {
-		return g.refuseUnknown(http.StatusNotFound, "no route", time.Now())
+		return g.refuseUnknown(verdict, http.StatusNotFound, "no route")
 	}
 	q.route, q.priority = route, route.Priority
 	if !q.authorize() {
-		return g.refuseUnknown(http.StatusUnauthorized, "unknown key", time.Now())
+		return g.refuseUnknown(verdict, http.StatusUnauthorized, "unknown key")
 	}
 	q.setDeadline()
 	if ref := g.readBody(q); ref != nil {
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/egretroute/egretroute/internal/connection/connector"
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
@@ -42,6 +44,7 @@
 
 // peerLinks holds the links to the fleet's other processes.
 type peerLinks struct {
+	self       string
 	routers    *connector.Connector
 	companions *connector.Connector
 
@@ -68,6 +71,7 @@
 		logger.PeerLinked.Log(g.Log, "peer", name, "incarnation", link.Peer.Incarnation)
 	}
 	return &peerLinks{
+		self:    g.Name,
 		members: &elector.Elector{StartedAt: time.Now()}, silentSince: make(map[string]time.Time), rotations: make(map[string]rotator.Peer),
 		routers: &connector.Connector{
 			Self: self, Secret: g.Secret, Interval: reportInterval, BytesPerSecond: reportBytesPerSecond, Heartbeat: g.exchangeReports,
@@ -88,15 +92,27 @@
 // links returns the links over which store calls may be relayed, those to companions
 // first.
 func (p *peerLinks) links() []*linker.Link {
-	var out []*linker.Link
-	for _, c := range []*connector.Connector{p.companions, p.routers} {
-		for _, name := range c.Live() {
-			if link := c.Link(name); link != nil {
-				out = append(out, link)
-			}
+	return append(p.companionLinks(), liveLinks(p.routers)...)
+}
+
+// companionLinks returns the links to companions. Each router begins with another one, since all
+// ask for the same change at the same time.
+func (p *peerLinks) companionLinks() []*linker.Link {
+	links := liveLinks(p.companions)
+	if len(links) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(p.self) % uint64(len(links)))
+	return slices.Concat(links[first:], links[:first])
+}
+
+func liveLinks(c *connector.Connector) (links []*linker.Link) {
+	for _, name := range c.Live() {
+		if link := c.Link(name); link != nil {
+			links = append(links, link)
 		}
 	}
-	return out
+	return links
 }
 
 // markSilent records that a peer left a request for a loan unanswered.
--- a/internal/process/logger/events.go
+++ b/internal/process/logger/events.go
@@ -64,7 +64,7 @@
 	ConfigurationApplied      = Event{313, slog.LevelInfo, "configuration document applied", "none"}
 	ConfigurationUnreadable   = Event{314, slog.LevelError, "configuration document is unreadable", "check that the gateway's release supports the document's format"}
 	FeedSlow                  = Event{315, slog.LevelInfo, "call of a change feed brought rows slowly", "see waitedMs, readMs, appliedMs and lag: the store, the link or this process was slow"}
-	ConfigurationLate         = Event{316, slog.LevelWarn, "a change of the configuration is overdue: all requests are refused until it is in use", "see age and lag; the link or the processor of the host is too small for its clients"}
+	ConfigurationLate         = Event{316, slog.LevelWarn, "whether a change of the configuration is overdue has changed; while late is true all requests are refused", "see age and lag; the link or the processor of the host is too small for its clients"}
 	TargetsListed             = Event{320, slog.LevelInfo, "complete list of targets read", "none"}
 	TargetUpdated             = Event{321, slog.LevelInfo, "target entry changed", "none"}
 	TargetRemoved             = Event{322, slog.LevelInfo, "target entry removed", "none"}
--- a/internal/version/inspector/inspector.go
+++ b/internal/version/inspector/inspector.go
@@ -31,7 +31,7 @@
 
 // Feed is what a router knows of its change feed.
 type Feed struct {
-	// CurrentAt is when the last complete reply began to arrive, whose changes are all in use.
+	// CurrentAt is a time up to which all changes are in use, zero if no reply has been complete yet.
 	CurrentAt time.Time
 	// ArrivingAt is when the last part of a reply of MinReplyBytes or more arrived that wasn't
 	// complete, zero if there was none since CurrentAt.
@@ -69,6 +69,8 @@
 	switch {
 	case now.Sub(f.CurrentAt) < maxAge:
 		return Current
+	case f.CurrentAt.IsZero():
+		return Unsure // the router has just started, with another one's configuration
 	case now.Sub(f.ArrivingAt) < arrivalTime:
 		return Late
 	default:
