Row cache: a long reply of a peer is not given up while it arrives

A router that starts while the store is away fetches the configuration from a peer.

The bound is on progress, as for the feeds. Streams write long messages in pieces of 16 KB: yamux hands on nothing of a frame before all of it, up to 256 KB, has arrived, so at 0.2 MB a second no progress was seen for 1.3 s.

--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -138,7 +138,27 @@
 }
 
 func newStream(s *yamux.Stream, peer Identity) *Stream {
-	return &Stream{Framer: framer.New(s), Peer: peer, conn: s}
+	return &Stream{Framer: framer.New(pieceConn{s}), Peer: peer, conn: s}
+}
+
+// maxPiece is the most that is written to a session at a time. A stream gets nothing of what is
+// written at once before it has arrived as a whole, nor do the streams beside it.
+const maxPiece = 16 << 10
+
+// pieceConn writes long messages in pieces.
+type pieceConn struct {
+	*yamux.Stream
+}
+
+// Write implements io.Writer.
+func (c pieceConn) Write(p []byte) (n int, err error) {
+	for len(p) > 0 && err == nil {
+		var written int
+		written, err = c.Stream.Write(p[:min(len(p), maxPiece)])
+		n += written
+		p = p[written:]
+	}
+	return n, err
 }
 
 // Close ends the stream.
--- a/internal/process/gateway/rowcache.go
+++ b/internal/process/gateway/rowcache.go
@@ -11,14 +11,17 @@
 	"github.com/egretroute/egretroute/internal/process/pauser"
 	"github.com/egretroute/egretroute/internal/process/registrar"
 	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/process/timekeeper"
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 const (
 	// fetchInterval is how often a router that isn't ready fetches rows from its seeds.
 	fetchInterval = 300 * time.Millisecond
-	// fetchTimeout bounds one fetch, the dial included.
+	// fetchTimeout bounds one fetch until the reply begins to arrive, the dial included, and then the
+	// time between two parts of the reply. maxFetchTime bounds all of it.
 	fetchTimeout = time.Second
+	maxFetchTime = 20 * time.Second
 )
 
 // rowCache holds the platform's rows as they were read, for routers that start while
@@ -122,7 +125,7 @@
 }
 
 func (g *Gateway) fetchFromPeer(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := timekeeper.Bounds{First: fetchTimeout, Stall: fetchTimeout, Whole: maxFetchTime}.Start(ctx)
 	defer cancel()
 	link, err := linker.Dial(ctx, address, g.Secret, linker.Identity{Name: g.Name, Incarnation: g.Incarnation})
 	if err != nil {
