Feeds: probes of the direct path are not limited in number

While the direct path fails, calls only probe it; a probe that the store holds open, such as that of the crashes' feed, took the place of the next ones. Probes are made every second again, as before, and end with the timeout of their call, so that slow replies don't gather them (TestProbesPileUp, at most three).

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -26,8 +26,6 @@
 const (
 	// probeInterval is the time between two probes of a failing direct path.
 	probeInterval = time.Second
-	// maxProbes bounds the probes in progress: the store may hold one open, or bring its reply slowly.
-	maxProbes = 3
 	// relayMargin is added to the timeout of a call if it is relayed.
 	relayMargin = 200 * time.Millisecond
 	// The timeout of a call is timeoutFactor times the recent call time of the store,
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -37,7 +37,6 @@
 	mu            sync.Mutex // guards the fields below
 	directFailing bool
 	nextProbe     time.Time
-	probes        int // in progress
 	// callTime is the recent call time of the store; see callTimeDecay.
 	callTime time.Duration
 	// directRepliedAt is when the store last replied to any call on the direct path.
@@ -130,7 +129,7 @@
 		// A call may be made on both paths, so the call itself serves as the probe. It
 		// may take effect whatever the outcome on the other path is.
 		lastErr = errors.Wrap(storer.ErrUnavailable, "the direct path is only probed")
-		go probeDirect(context.WithoutCancel(timekeeper.Detach(ctx)), s, limits, direct, reads)
+		go probeDirect(context.WithoutCancel(timekeeper.Detach(ctx)), s, callLimits{wait: wait, bounds: commitBounds(timeout)}, direct, reads)
 	}
 	if useDirect {
 		directCtx := ctx
@@ -224,9 +223,9 @@
 }
 
 // probeDirect makes a call on the direct path to find out whether it works. A read needs no more of
-// its reply for that than the first longReplyBytes.
+// its reply for that than the first longReplyBytes, and isn't given more time for a slow one: there
+// is a probe every second.
 func probeDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context) (T, error), reads bool) {
-	defer s.endProbe()
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var length atomic.Int64
@@ -387,20 +386,13 @@
 	if !s.directFailing {
 		return true, false
 	}
-	if now := time.Now(); now.After(s.nextProbe) && s.probes < maxProbes {
+	if now := time.Now(); now.After(s.nextProbe) {
 		s.nextProbe = now.Add(probeInterval)
-		s.probes++
 		return false, true
 	}
 	return false, false
 }
 
-func (s *Store) endProbe() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.probes--
-}
-
 func (s *Store) recordDirectResult(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
