Probe a failing path to the store without a long poll

Callers: for up to 6.9 s after a router's path to the store worked again, the router refused what it didn't know (503 for a route or a key), instead of 1 to 2 s.

Cause: while the direct path fails, a call serves as its probe. A Watch was probed with its own wait, so that the store held the probe: 1 s for most tables, 5 s for crashes. A probe that the store holds tells nothing of the path. The feeds try again each 100 ms, a probe is due each second, so the same feed can be the one that probes again and again.

Now a probe is held for 1 ms.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -26,6 +26,8 @@
 const (
 	// probeInterval is the time between two probes of a failing direct path.
 	probeInterval = time.Second
+	// probeWait is how long the store may block a probe, at most: zero could mean the store's default.
+	probeWait = time.Millisecond
 	// relayMargin is added to the timeout of a call if it is relayed.
 	relayMargin = 200 * time.Millisecond
 	// The timeout of a call is timeoutFactor times the recent call time of the store,
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -50,7 +50,9 @@
 func (s *Store) CommitWithReceipt(ctx context.Context, c storer.Commit) (storer.Receipt, error) {
 	call := encodeCommit(c)
 	return relay(ctx, s, 0,
-		func(ctx context.Context) (storer.Receipt, error) { return s.Direct.CommitWithReceipt(ctx, c) },
+		func(ctx context.Context, _ time.Duration) (storer.Receipt, error) {
+			return s.Direct.CommitWithReceipt(ctx, c)
+		},
 		call, func(r *framer.Relayed) (storer.Receipt, error) {
 			return storer.Receipt{Version: r.Version, Clock: r.Clock, Era: storer.Era(r.Era)}, decodeError(r)
 		})
@@ -59,14 +61,16 @@
 // List implements storer.Watcher.
 func (s *Store) List(ctx context.Context, table string) (storer.RowBatch, error) {
 	return relay(ctx, s, 0,
-		func(ctx context.Context) (storer.RowBatch, error) { return s.Direct.List(ctx, table) },
+		func(ctx context.Context, _ time.Duration) (storer.RowBatch, error) { return s.Direct.List(ctx, table) },
 		&framer.RelayWatch{Table: table, List: true, Compress: true}, decodeRowBatch)
 }
 
 // Watch implements storer.Watcher.
 func (s *Store) Watch(ctx context.Context, table string, after storer.Position, wait time.Duration) (storer.RowBatch, error) {
 	return relay(ctx, s, wait,
-		func(ctx context.Context) (storer.RowBatch, error) { return s.Direct.Watch(ctx, table, after, wait) },
+		func(ctx context.Context, wait time.Duration) (storer.RowBatch, error) {
+			return s.Direct.Watch(ctx, table, after, wait)
+		},
 		&framer.RelayWatch{Table: table, After: after.Version, Wait: wait, Compress: true}, decodeRowBatch)
 }
 
@@ -109,16 +113,19 @@
 
 // relay makes one call: directly if the direct path works, and through a linked process
 // if the direct path fails or is slow. While the direct path fails, a call also serves
-// as its probe at every probeInterval. wait is how long the store may block the call.
+// as its probe at every probeInterval. wait is how long the store may block the call. A probe
+// isn't blocked for that long, since until its reply it tells nothing of the path.
 //
 // Timeouts and hedge delays follow the recent call time, because the store may be slow on
 // every path: calls that are abandoned or repeated before the store can reply only
 // lengthen its queue.
-func relay[T any](ctx context.Context, s *Store, wait time.Duration, direct func(context.Context) (T, error),
-	call any, decode func(*framer.Relayed) (T, error)) (T, error) {
+func relay[T any](ctx context.Context, s *Store, wait time.Duration,
+	direct func(ctx context.Context, wait time.Duration) (T, error), call any, decode func(*framer.Relayed) (T, error),
+) (T, error) {
 	var zero T
 	lastErr := errors.Wrap(storer.ErrRefused, "the direct path fails")
-	timeout, startedAt := wait+s.callTimeout(), time.Now()
+	callTimeout, startedAt := s.callTimeout(), time.Now()
+	timeout := wait + callTimeout
 	_, reads := call.(*framer.RelayWatch)
 	limits := callLimits{wait: wait, bounds: commitBounds(timeout)}
 	if reads {
@@ -129,7 +136,8 @@
 		// A call may be made on both paths, so the call itself serves as the probe. It
 		// may take effect whatever the outcome on the other path is.
 		lastErr = errors.Wrap(storer.ErrUnavailable, "the direct path is only probed")
-		go probeDirect(context.WithoutCancel(timekeeper.Detach(ctx)), s, callLimits{wait: wait, bounds: commitBounds(timeout)}, direct, reads)
+		limits := callLimits{wait: min(wait, probeWait), bounds: commitBounds(callTimeout)}
+		go probeDirect(context.WithoutCancel(timekeeper.Detach(ctx)), s, limits, direct, reads)
 	}
 	if useDirect {
 		directCtx := ctx
@@ -206,14 +214,14 @@
 
 // callDirect makes a call on the direct path and records whether the path works, and how long the
 // store took: the transfer of a long reply says nothing of that.
-func callDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context) (T, error)) (T, error) {
+func callDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context, time.Duration) (T, error)) (T, error) {
 	callCtx, cancel := limits.bounds.Start(ctx)
 	defer cancel()
 	startedAt := time.Now()
 	var first sync.Once
 	repliedAt := time.Time{}
 	callCtx = timekeeper.Watch(callCtx, func(int) { first.Do(func() { repliedAt = time.Now() }) })
-	v, err := direct(callCtx)
+	v, err := direct(callCtx, limits.wait)
 	if limits.wait == 0 && !pathFailed(err) {
 		first.Do(func() { repliedAt = time.Now() })
 		s.recordCallTime(repliedAt.Sub(startedAt))
@@ -225,7 +233,7 @@
 // probeDirect makes a call on the direct path to find out whether it works. A read needs no more of
 // its reply for that than the first longReplyBytes, and isn't given more time for a slow one: there
 // is a probe every second.
-func probeDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context) (T, error), reads bool) {
+func probeDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context, time.Duration) (T, error), reads bool) {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var length atomic.Int64
@@ -251,7 +259,7 @@
 	wide    *linker.Link  // set with errLongReply: the link for the call
 }
 
-func startDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context) (T, error)) *directCall[T] {
+func startDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context, time.Duration) (T, error)) *directCall[T] {
 	d := &directCall[T]{results: make(chan result[T], 1), parts: make(chan struct{}, 1)}
 	ctx = timekeeper.Watch(ctx, func(n int) {
 		d.length.Add(int64(n))
