Don't lose the path to the store by a poll that began before its last reply

Callers: after its path to the store was back, a router could be without the store for another second, with refusals of what it doesn't know.

Cause: any call that got no reply marked the direct path as failing, also a long poll of the crash feed that was sent up to 6 s ago, on a connection from before the path's return.

A call without a reply now counts only if no later reply came on the direct path. Refusals count as before: they are replies. A path that is lost for good is still noticed by the first call that begins after its last reply.

TestLongPollFailsAfterThePathHasReturned: the commit after the poll's end was refused ("the direct path fails") before, and succeeds now.

--- a/internal/connection/relayer/probe_test.go
+++ b/internal/connection/relayer/probe_test.go
@@ -76,3 +76,28 @@
 	took := wait(t, restored).Sub(restoredAt)
 	assert.Assert(t, took < 2*time.Second, "after %v", took)
 }
+
+// TestLongPollFailsAfterThePathHasReturned loses the reply to a long poll, and then to a commit. The path
+// was restored, and said to be lost again when the poll failed.
+func TestLongPollFailsAfterThePathHasReturned(t *testing.T) {
+	t.Parallel()
+	s, direct, lost, restored := newPollStore()
+	direct.silent.Store(true)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := s.Watch(t.Context(), "crashes", storer.Position{}, 2*time.Second)
+		failed <- err
+	}()
+	_, err := s.CommitWithReceipt(t.Context(), storer.Commit{})
+	assert.ErrorIs(t, err, storer.ErrUnavailable)
+	wait(t, lost)
+	direct.silent.Store(false)
+	for restoredAt := time.Now(); len(restored) == 0; time.Sleep(20 * time.Millisecond) {
+		_, _ = s.CommitWithReceipt(t.Context(), storer.Commit{})
+		assert.Assert(t, time.Since(restoredAt) < 1500*time.Millisecond)
+	}
+	assert.ErrorIs(t, <-failed, storer.ErrUnavailable)
+	_, err = s.CommitWithReceipt(t.Context(), storer.Commit{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(lost), 0)
+}
--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -226,7 +226,7 @@
 		first.Do(func() { repliedAt = time.Now() })
 		s.recordCallTime(repliedAt.Sub(startedAt))
 	}
-	s.recordDirectResult(ctx, err)
+	s.recordDirectResult(ctx, startedAt, err)
 	return v, err
 }
 
@@ -237,9 +237,10 @@
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var length atomic.Int64
+	startedAt := time.Now()
 	callCtx := timekeeper.Watch(readCtx, func(n int) {
 		if reads && length.Add(int64(n)) >= longReplyBytes && readCtx.Err() == nil {
-			s.recordDirectResult(ctx, nil)
+			s.recordDirectResult(ctx, startedAt, nil)
 			cancel()
 		}
 	})
@@ -401,12 +402,19 @@
 	return false, false
 }
 
-func (s *Store) recordDirectResult(ctx context.Context, err error) {
+// recordDirectResult records whether the direct path works. A call that got no reply tells nothing
+// new if another one has got a reply since it was started: a long poll fails seconds after its
+// connection, when the path may work again.
+func (s *Store) recordDirectResult(ctx context.Context, startedAt time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	lost := pathFailed(err)
 	s.mu.Lock()
+	if errors.Is(err, storer.ErrUnavailable) && s.directRepliedAt.After(startedAt) {
+		s.mu.Unlock()
+		return
+	}
 	wasFailing := s.directFailing
 	s.directFailing = lost
 	if lost {
