Let a version take longer than a heartbeat in the product's own fleet

Callers: a router or an agent of the product's own fleet behind a narrow link never got a configuration that needs more than a second: a router that could not read the table refused everything, an agent kept its old capacity, and each heartbeat sent the document again from the beginning.

The document was pushed and fetched within the heartbeat's second. It now goes on beside the heartbeats, at most once at a time on each link and for a minute; short ones still arrive within the first heartbeat, so that an agent has its configuration before it is linked. A link that has failed is closed by its heartbeats, which ends the transfer.

--- a/internal/process/router/links.go
+++ b/internal/process/router/links.go
@@ -53,17 +53,15 @@
 	if pong.Load.Draining {
 		r.treasury.AgentDraining(link.Peer.Incarnation)
 	}
-	r.pushFleet(ctx, link, pong.Version)
+	if version, document := r.follower.Document(); version > pong.Version {
+		r.transfers.run(ctx, link, func(ctx context.Context) { pushFleet(ctx, link, version, document) })
+	}
 	r.settleOverdue(ctx, link, pong.Bills)
 	return nil
 }
 
-// pushFleet sends the configuration to an agent that has an older version.
-func (r *Router) pushFleet(ctx context.Context, link *linker.Link, agentVersion uint64) {
-	version, document := r.follower.Document()
-	if version <= agentVersion {
-		return
-	}
+// pushFleet sends the configuration to an agent.
+func pushFleet(ctx context.Context, link *linker.Link, version uint64, document []byte) {
 	_, _ = linker.Call[*framer.Done](ctx, link, &framer.FleetDocument{Version: version, Document: document})
 }
 
@@ -134,7 +132,7 @@
 	r.directory.setPeerIncarnation(name, pong.Incarnation)
 	r.crashes.Finish(link, crashes, pong.Crashes)
 	if pong.Version > r.follower.Version() {
-		r.fetchFleet(ctx, link)
+		r.transfers.run(ctx, link, func(ctx context.Context) { r.fetchFleet(ctx, link) })
 	}
 	return nil
 }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -106,6 +106,7 @@
 	suspects *suspecter.Suspecter
 	// crashes exchanges observations with agents and other routers.
 	crashes      suspecter.Exchange[*linker.Link]
+	transfers    transfers
 	archiver     *archiver.Archiver
 	agents       *connector.Connector
 	peers        *connector.Connector
