Keep a target's known start when an older copy of the store lists the one before

The list was taken over as it was, but for targets that leave without another start.

Now a start that is known to be later stays as it is known, with its address and state, until the target writes its entry again; a start before one that has left counts as left. Within one era an earlier start counts as before: a target's clock may be behind.

Failed before: cases 16 and 18 of the registrar's scripts, cases 20 and 21 of TestTargetsThatWithdraw (6 requests reached the target, none allowed). Case 17 guards the clock that is behind.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -199,13 +199,23 @@
 }
 
 // hasLeft reports whether an entry of an older copy is of a start that is known to leave or
-// to have left.
+// to have left, or of one before it.
 func (r *Registrar) hasLeft(e Entry) bool {
 	if old, ok := r.targets[e.ID]; ok {
 		return old.Draining && old.Era < e.Era && old.StartedAt.Equal(e.StartedAt)
 	}
 	l, ok := r.left[e.ID]
-	return ok && l.era < e.Era && l.startedAt.Equal(e.StartedAt)
+	return ok && l.era < e.Era && (l.startedAt.Equal(e.StartedAt) || startedBefore(e.StartedAt, l.startedAt))
+}
+
+// endedBefore reports whether an entry of an older copy is of a start before the known one.
+func (e Entry) endedBefore(known Entry) bool {
+	return known.Era < e.Era && startedBefore(e.StartedAt, known.StartedAt)
+}
+
+// startedBefore reports whether a start was before another one; targets may state neither.
+func startedBefore(start, other time.Time) bool {
+	return !start.IsZero() && start.Before(other)
 }
 
 // Serving reports whether a target is still listed as it was, neither draining nor with a
@@ -252,7 +262,8 @@
 
 // Replace replaces the whole list. Targets that are missing from entries are removed as
 // by Delete. After the platform's store has come back from an older copy, targets that leave or
-// have left stay so until they write their entries again.
+// have left stay so, and those that have started again stay as known, until they write their
+// entries again.
 func (r *Registrar) Replace(entries []Entry, now time.Time, stable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -265,6 +276,10 @@
 			old.removeAt = time.Time{}
 			continue
 		}
+		if old, ok := r.targets[e.ID]; ok && e.endedBefore(old.Entry) {
+			old.Revision, old.Era, old.removeAt = e.Revision, e.Era, time.Time{}
+			continue
+		}
 		e.Draining = e.Draining || r.hasLeft(e)
 		r.set(e, synced)
 	}
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -13,7 +13,8 @@
 )
 
 // TestScripts runs the cases of testdata/scripts.txt. Each line is a step at a time in
-// milliseconds; expect steps list the targets that take new work.
+// milliseconds; expect steps list the targets that take new work, known steps state the start and
+// the address of one.
 func TestScripts(t *testing.T) {
 	text, err := os.ReadFile("testdata/scripts.txt")
 	assert.NilError(t, err)
@@ -70,6 +71,10 @@
 			text = fmt.Sprint(e.AppearedAt.UnixMilli())
 		}
 		assert.Equal(t, text, args[1], line)
+	case "known":
+		e, ok := r.Entry(args[0])
+		assert.Assert(t, ok, line)
+		assert.Equal(t, fmt.Sprintf("%d%%%s", e.StartedAt.UnixMilli(), e.Address), args[1], line)
 	case "expect":
 		var ids []string
 		for _, e := range r.Service("llm", now) {
