Probes: restore a slow path by its first part, and don't put a probe off

The first part of a read's reply is enough now. - Each late failure of a call from before the loss put the next probe off by a second (polls failing 0.7 s apart: restored after 5.9 s). Only a probe that fails does so now.

--- a/internal/connection/relayer/store.go
+++ b/internal/connection/relayer/store.go
@@ -231,20 +231,29 @@
 }
 
 // probeDirect makes a call on the direct path to find out whether it works. A read needs no more of
-// its reply for that than the first longReplyBytes, and isn't given more time for a slow one: there
-// is a probe every second.
+// its reply for that than the first part, and isn't given more time for a slow one: there is a probe
+// every second.
 func probeDirect[T any](ctx context.Context, s *Store, limits callLimits, direct func(context.Context, time.Duration) (T, error), reads bool) {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var length atomic.Int64
 	startedAt := time.Now()
-	callCtx := timekeeper.Watch(readCtx, func(n int) {
-		if reads && length.Add(int64(n)) >= longReplyBytes && readCtx.Err() == nil {
+	callCtx := timekeeper.Watch(readCtx, func(int) {
+		if reads && readCtx.Err() == nil {
 			s.recordDirectResult(ctx, startedAt, nil)
 			cancel()
 		}
 	})
-	_, _ = callDirect(callCtx, s, limits, direct) // records its result
+	_, err := callDirect(callCtx, s, limits, direct) // records its result
+	if pathFailed(err) && readCtx.Err() == nil {
+		s.postponeProbe()
+	}
+}
+
+// postponeProbe lets the next probe wait for probeInterval.
+func (s *Store) postponeProbe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextProbe = time.Now().Add(probeInterval)
 }
 
 type result[T any] struct {
@@ -417,10 +426,11 @@
 	}
 	wasFailing := s.directFailing
 	s.directFailing = lost
-	if lost {
-		s.nextProbe = time.Now().Add(probeInterval)
-	} else {
+	switch {
+	case !lost:
 		s.directRepliedAt = time.Now()
+	case !wasFailing: // a late failure of another call doesn't put off the probe
+		s.nextProbe = time.Now().Add(probeInterval)
 	}
 	s.mu.Unlock()
 	switch {
