Send long versions on connections of their own

Cause: up to 256 KB of the document, the stream's window, are ahead of each heartbeat on the same connection; three late ones close the link, and the transfer begins anew.

A version of more than 32 KB, and one that a router fetches, now goes over a connection that is dialled for it, one to each process and four at once; it ends with the heartbeats' link. Shorter ones go with the heartbeat as before, so that an agent has them before it is linked, however many agents there are.

The tests' connections now share the narrow link: 0.8 MB at 0.1 MB/s, twice to an agent, no link lost.

--- a/internal/connection/linker/linker.go
+++ b/internal/connection/linker/linker.go
@@ -48,7 +48,9 @@
 
 // Link is one session to a peer.
 type Link struct {
-	Peer    Identity
+	Peer Identity
+	// Address is the one that was dialled.
+	Address string
 	session *session
 }
 
@@ -73,7 +75,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &Link{Peer: peer, session: session}, nil
+	return &Link{Peer: peer, Address: addr, session: session}, nil
 }
 
 // Open starts a stream for one call or run.
--- a/internal/process/router/links.go
+++ b/internal/process/router/links.go
@@ -53,14 +53,27 @@
 	if pong.Load.Draining {
 		r.treasury.AgentDraining(link.Peer.Incarnation)
 	}
-	if version, document := r.follower.Document(); version > pong.Version {
-		r.transfers.run(ctx, link, func(ctx context.Context) { pushFleet(ctx, link, version, document) })
-	}
+	r.updateAgent(ctx, link, pong.Version)
 	r.settleOverdue(ctx, link, pong.Bills)
 	return nil
 }
 
-// pushFleet sends the configuration to an agent.
+// shortDocumentBytes is the length up to which a document is sent on the link of the heartbeats: so
+// that an agent has it before it is linked, however many agents there are.
+const shortDocumentBytes = 32 << 10
+
+// updateAgent sends the configuration to an agent that has an older version.
+func (r *Router) updateAgent(ctx context.Context, link *linker.Link, agentVersion uint64) {
+	version, document := r.follower.Document()
+	switch {
+	case version <= agentVersion:
+	case len(document) <= shortDocumentBytes:
+		pushFleet(ctx, link, version, document)
+	default:
+		r.transfers.run(ctx, r, link, func(ctx context.Context, own *linker.Link) { pushFleet(ctx, own, version, document) })
+	}
+}
+
 func pushFleet(ctx context.Context, link *linker.Link, version uint64, document []byte) {
 	_, _ = linker.Call[*framer.Done](ctx, link, &framer.FleetDocument{Version: version, Document: document})
 }
@@ -132,7 +145,7 @@
 	r.directory.setPeerIncarnation(name, pong.Incarnation)
 	r.crashes.Finish(link, crashes, pong.Crashes)
 	if pong.Version > r.follower.Version() {
-		r.transfers.run(ctx, link, func(ctx context.Context) { r.fetchFleet(ctx, link) })
+		r.transfers.run(ctx, r, link, r.fetchFleet)
 	}
 	return nil
 }
--- a/internal/process/router/transfers.go
+++ b/internal/process/router/transfers.go
@@ -8,30 +8,47 @@
 	"github.com/egretroute/egretroute/internal/connection/linker"
 )
 
-// maxTransferTime bounds a transfer of the configuration. A link that has failed is closed much
-// sooner, when its heartbeats fail.
-const maxTransferTime = time.Minute
+const (
+	// maxTransferTime bounds a transfer of the configuration.
+	maxTransferTime = time.Minute
+	// maxTransfers bounds the transfers that run at once: they share the host's link with requests.
+	maxTransfers = 4
+)
 
-// transfers runs transfers of the configuration, at most one at a time on each link. A large
-// document on a slow link takes longer than a heartbeat may. The zero value is ready for use.
+// transfers runs transfers of the configuration, at most one at a time to each process. A large
+// document on a narrow link takes longer than a heartbeat may, and holds up what is sent on the same
+// connection, so each has a connection of its own. The zero value is ready for use.
 type transfers struct {
-	mu      sync.Mutex // guards running
-	running map[*linker.Link]bool
+	mu      sync.Mutex      // guards running
+	running map[string]bool // by address
 }
 
-// run calls f for a link and waits until f returns or ctx ends, after which f goes on. It returns
-// at once if an earlier call for the link is running.
-func (t *transfers) run(ctx context.Context, link *linker.Link, f func(ctx context.Context)) {
-	if !t.begin(link) {
+// run calls f with a new link to the process at the other end of the given one, and waits until f
+// returns or ctx ends, after which f goes on. It returns at once if an earlier call for the process
+// is running, or too many for others are: a later heartbeat calls it again.
+func (t *transfers) run(ctx context.Context, r *Router, link *linker.Link, f func(ctx context.Context, link *linker.Link)) {
+	if !t.begin(link.Address) {
 		return
 	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		defer t.end(link)
+		defer t.end(link.Address)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxTransferTime)
 		defer cancel()
-		f(ctx)
+		go func() {
+			select {
+			case <-link.Done(): // the process may have ended
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		own, err := linker.Dial(ctx, link.Address, r.Secret, r.identity())
+		if err != nil {
+			return
+		}
+		defer own.Close()
+		f(ctx, own)
 	}()
 	select {
 	case <-ended:
@@ -39,21 +56,21 @@
 	}
 }
 
-func (t *transfers) begin(link *linker.Link) bool {
+func (t *transfers) begin(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.running[link] {
+	if t.running[address] || len(t.running) >= maxTransfers {
 		return false
 	}
 	if t.running == nil {
-		t.running = make(map[*linker.Link]bool)
+		t.running = make(map[string]bool)
 	}
-	t.running[link] = true
+	t.running[address] = true
 	return true
 }
 
-func (t *transfers) end(link *linker.Link) {
+func (t *transfers) end(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.running, link)
+	delete(t.running, address)
 }
--- a/internal/process/router/transfers_test.go
+++ b/internal/process/router/transfers_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,10 +23,11 @@
 	"github.com/egretroute/egretroute/internal/version/patcher"
 )
 
-// narrowLink returns the address of a proxy that passes on bytesPerSecond in each direction.
+// narrowLink returns the address of a proxy whose connections share bytesPerSecond in each direction.
 func narrowLink(t *testing.T, address string, bytesPerSecond int) string {
 	t.Helper()
 	ln := listenLoopback(t)
+	up, down := &narrowPipe{bytesPerSecond: bytesPerSecond}, &narrowPipe{bytesPerSecond: bytesPerSecond}
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -36,48 +39,90 @@
 				_ = conn.Close()
 				continue
 			}
-			go passOn(conn, peer, bytesPerSecond)
-			go passOn(peer, conn, bytesPerSecond)
+			go up.passOn(conn, peer)
+			go down.passOn(peer, conn)
 		}
 	}()
 	return ln.Addr().String()
 }
 
-func passOn(from, to net.Conn, bytesPerSecond int) {
+// narrowPipe is one direction of a link. Its connections take turns.
+type narrowPipe struct {
+	bytesPerSecond int
+	mu             sync.Mutex // held while a piece passes
+}
+
+func (p *narrowPipe) passOn(from, to net.Conn) {
 	defer from.Close()
 	defer to.Close()
-	const interval = 20 * time.Millisecond
-	buffer := make([]byte, bytesPerSecond/int(time.Second/interval))
+	buffer := make([]byte, 2<<10)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		time.Sleep(time.Duration(n) * time.Second / time.Duration(p.bytesPerSecond))
+		p.mu.Unlock()
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
-		time.Sleep(interval)
 	}
 }
 
-// newWideFleet returns a table with a configuration of more than minBytes, whose targets are behind
-// the agent's address.
+// logText collects a log.
+type logText struct {
+	mu   sync.Mutex // guards text
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logText) contains(s string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), s)
+}
+
+// newWideFleet returns a table with a configuration of more than minBytes, whose target is behind the
+// agent's address.
 func newWideFleet(t *testing.T, agentAddress string, minBytes int) storer.Table {
 	t.Helper()
+	table := storer.NewMemory()
 	f := &declarer.Fleet{
 		Models:  []declarer.Model{{Name: "m", MaxTokens: 100, BytesPerToken: 1}},
 		Targets: []declarer.Target{{Name: "engine-1", Serves: "m", Agent: agentAddress, Domain: "d", Capacity: 1}},
 	}
+	addOrganisations(t, table, f, minBytes)
+	return table
+}
+
+// widen adds more than minBytes to a configuration.
+func widen(t *testing.T, table storer.Table, minBytes int) {
+	t.Helper()
+	row, err := storer.ReadOne(t.Context(), table, patcher.CurrentKey)
+	assert.NilError(t, err)
+	f, err := declarer.Decode(row.Value)
+	assert.NilError(t, err)
+	f.Organisations = nil
+	addOrganisations(t, table, f, minBytes)
+}
+
+func addOrganisations(t *testing.T, table storer.Table, f *declarer.Fleet, minBytes int) {
+	t.Helper()
 	for len(declarer.Encode(f)) < minBytes {
-		for range 100 {
-			name := fmt.Sprint("organisation-", len(f.Organisations))
+		for range max(minBytes/2000, 1) {
+			name := fmt.Sprintf("organisation-%d-%d", f.Version, len(f.Organisations))
 			f.Organisations = append(f.Organisations, declarer.Organisation{Name: name, KeyHash: declarer.HashKey(name), Budget: 1, Weight: 1})
 		}
 	}
-	table := storer.NewMemory()
-	_, err := (&patcher.Patcher{Table: table}).Apply(t.Context(), f, "wide")
+	_, err := (&patcher.Patcher{Table: table}).Apply(t.Context(), f, fmt.Sprint("wide-", f.Version))
 	assert.NilError(t, err)
-	return table
 }
 
 // cutTable can't read the configuration.
@@ -95,13 +140,14 @@
 	return c.Table.Read(ctx, keys...)
 }
 
-// runRouter runs a router until the test ends.
-func runRouter(t *testing.T, name string, table storer.Table, peers map[string]string) *router.Router {
+// runRouter runs a router until the test ends, and returns it with its log.
+func runRouter(t *testing.T, name string, table storer.Table, peers map[string]string) (*router.Router, *logText) {
 	t.Helper()
+	log := &logText{}
 	r := &router.Router{
 		Name: name, Domain: "d", Secret: []byte(testSecret), Table: table, Peers: peers,
 		Policy: spender.NewProportional(0, spender.DefaultTrendFactor), FlushInterval: 20 * time.Millisecond,
-		ShutdownLimit: 5 * time.Second, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+		ShutdownLimit: 5 * time.Second, Log: slog.New(slog.NewTextHandler(log, nil)), Registry: prometheus.NewRegistry(),
 		ClientListener: listenLoopback(t), OperatorListener: listenLoopback(t), FleetListener: listenLoopback(t),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -111,7 +157,7 @@
 		cancel()
 		assert.Check(t, <-stopped)
 	})
-	return r
+	return r, log
 }
 
 // followingAgent counts the documents that it is sent.
@@ -132,38 +178,63 @@
 	}
 }
 
-const (
-	wideBytes      = 600_000
-	narrowBytes    = 300_000 // a second
-	maxTransferFor = 6 * time.Second
-)
-
-// TestWideConfigurationNeverReachesAnAgent sends an agent a configuration that its link takes 2 s for. Each
-// heartbeat began to send it anew, and gave it up after a second.
-func TestWideConfigurationNeverReachesAnAgent(t *testing.T) {
-	t.Parallel()
+func startFollowingAgent(t *testing.T) (a *followingAgent, address string) {
+	t.Helper()
 	ln := listenLoopback(t)
-	a := &followingAgent{}
+	a = &followingAgent{}
 	srv := &linker.Server{Secret: []byte(testSecret), Self: linker.Identity{Name: "engine", Incarnation: "engine@1"}, Handler: a}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(srv.Close)
-	runRouter(t, "router", newWideFleet(t, narrowLink(t, ln.Addr().String(), narrowBytes), wideBytes), nil)
-	for startedAt := time.Now(); a.version.Load() == 0; time.Sleep(20 * time.Millisecond) {
-		assert.Assert(t, time.Since(startedAt) < maxTransferFor)
+	return a, ln.Addr().String()
+}
+
+const (
+	wideBytes   = 800_000
+	narrowBytes = 100_000 // a second
+	// wideTime is twice what the link takes for the document.
+	wideTime = 16 * time.Second
+)
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, within time.Duration, holds func() bool) {
+	t.Helper()
+	for startedAt := time.Now(); !holds(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Since(startedAt) < within)
 	}
-	time.Sleep(3 * time.Second)
+}
+
+// TestWideConfigurationNeverReachesAnAgent sends an agent two configurations that its link takes 8 s for. Each
+// heartbeat began to send the first one anew, and gave it up after a second; then the transfer held up the heartbeats
+// for so long that the link was closed.
+func TestWideConfigurationNeverReachesAnAgent(t *testing.T) {
+	t.Parallel()
+	a, address := startFollowingAgent(t)
+	table := newWideFleet(t, narrowLink(t, address, narrowBytes), wideBytes)
+	_, log := runRouter(t, "router", table, nil)
+	waitFor(t, wideTime, func() bool { return a.version.Load() == 1 })
 	assert.Equal(t, a.documents.Load(), int64(1))
+	widen(t, table, wideBytes)
+	waitFor(t, wideTime, func() bool { return a.version.Load() == 2 })
+	assert.Assert(t, !log.contains("link to an agent is down"), log.text.String())
 }
 
 // TestWideConfigurationNeverReachesARouter starts a router that can't read the configuration, and gets it from
-// another one over a link that takes 2 s for it. It gave up each attempt after a second.
+// another one over such a link. It gave up each attempt after a second.
 func TestWideConfigurationNeverReachesARouter(t *testing.T) {
 	t.Parallel()
 	table := newWideFleet(t, "127.0.0.1:1", wideBytes)
-	first := runRouter(t, "first", table, nil)
+	first, _ := runRouter(t, "first", table, nil)
 	peer := narrowLink(t, first.FleetListener.Addr().String(), narrowBytes)
-	second := runRouter(t, "second", cutTable{table}, map[string]string{"first": peer})
-	for startedAt := time.Now(); !second.Ready(0); time.Sleep(20 * time.Millisecond) {
-		assert.Assert(t, time.Since(startedAt) < maxTransferFor)
-	}
+	second, log := runRouter(t, "second", cutTable{table}, map[string]string{"first": peer})
+	waitFor(t, wideTime, func() bool { return second.Ready(0) })
+	assert.Assert(t, !log.contains("link to another router is down"), log.text.String())
+}
+
+// TestAgentIsLinkedBeforeItIsConfigured sends an agent a configuration that its link takes a third of a second for.
+func TestAgentIsLinkedBeforeItIsConfigured(t *testing.T) {
+	t.Parallel()
+	a, address := startFollowingAgent(t)
+	r, _ := runRouter(t, "router", newWideFleet(t, narrowLink(t, address, narrowBytes), 25_000), nil)
+	waitFor(t, wideTime, func() bool { return r.Ready(1) })
+	assert.Equal(t, a.version.Load(), uint64(1))
 }
