Bound reads of the product's store by the arrival of their replies

Reads are now bounded until their reply arrives, between its parts, and by 20 s more in all; commits as before.

Not done: each router still reads the whole row every 2 s.

--- a/internal/process/storer/client.go
+++ b/internal/process/storer/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretroute/egretroute/internal/process/timekeeper"
 )
 
 const (
@@ -18,16 +20,22 @@
 	maxResponseBytes = 64 << 20
 )
 
+// maxTransferTime is how much longer than its timeout a read may last while its reply arrives.
+const maxTransferTime = 20 * time.Second
+
 // Client is a Table that calls the platform's table service over HTTP with JSON bodies.
 type Client struct {
 	URL  string
 	HTTP *http.Client
+
+	timeout time.Duration
 }
 
-// NewClient returns a client for the platform at url. The timeout bounds each call.
+// NewClient returns a client for the platform at url. The timeout bounds each commit, and of a read the
+// time until the reply arrives and between its parts.
 func NewClient(url string, timeout time.Duration) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &Client{URL: url, HTTP: &http.Client{Transport: transport, Timeout: timeout}}
+	return &Client{URL: url, HTTP: &http.Client{Transport: transport}, timeout: timeout}
 }
 
 // Wire types of the table service.
@@ -105,6 +113,12 @@
 // post sends in as JSON and decodes the response into out unless out is nil. A conflict
 // is returned as ErrConflict, a failed exchange or another status as ErrUnavailable.
 func (c *Client) post(ctx context.Context, path string, in, out any) error {
+	bounds := timekeeper.Bounds{First: c.timeout, Stall: c.timeout, Whole: c.timeout}
+	if out != nil {
+		bounds.Whole += maxTransferTime
+	}
+	ctx, cancel := bounds.Start(ctx)
+	defer cancel()
 	body, err := json.Marshal(in)
 	if err != nil {
 		return errors.Wrap(err, "encode platform call")
@@ -128,5 +142,5 @@
 	if out == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out), "decode platform reply")
+	return errors.Wrap(json.NewDecoder(io.LimitReader(timekeeper.Reader(ctx, resp.Body), maxResponseBytes)).Decode(out), "decode platform reply")
 }
