Take a start by a clock that is behind from a copy that is newer than the list

A target that had started again by a clock that is behind, and whose new entry a router had not read when the store came back from a copy that holds it, would have been kept with its former start and address until it wrote its entry once more.

Rows of a copy keep their versions, so a row with a higher version than the known one was written later, whatever start it names.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -208,9 +208,10 @@
 	return ok && l.era < e.Era && (l.startedAt.Equal(e.StartedAt) || startedBefore(e.StartedAt, l.startedAt))
 }
 
-// endedBefore reports whether an entry of an older copy is of a start before the known one.
+// endedBefore reports whether an entry of an older copy is of a start before the known one. A row
+// that was written after the known one tells of a target whose clock is behind.
 func (e Entry) endedBefore(known Entry) bool {
-	return known.Era < e.Era && startedBefore(e.StartedAt, known.StartedAt)
+	return known.Era < e.Era && e.Revision < known.Revision && startedBefore(e.StartedAt, known.StartedAt)
 }
 
 // startedBefore reports whether a start was before another one; targets may state neither.
