Fetch a version from one router at a time

Callers: a router of the product's own fleet behind a narrow link got its configuration later the more routers it was linked to: it fetched it from up to four of them at once.

--- a/internal/process/router/links.go
+++ b/internal/process/router/links.go
@@ -70,7 +70,7 @@
 	case len(document) <= shortDocumentBytes:
 		pushFleet(ctx, link, version, document)
 	default:
-		r.transfers.run(ctx, r, link, func(ctx context.Context, own *linker.Link) { pushFleet(ctx, own, version, document) })
+		r.transfers.run(ctx, r, link.Address, link, func(ctx context.Context, own *linker.Link) { pushFleet(ctx, own, version, document) })
 	}
 }
 
@@ -145,7 +145,7 @@
 	r.directory.setPeerIncarnation(name, pong.Incarnation)
 	r.crashes.Finish(link, crashes, pong.Crashes)
 	if pong.Version > r.follower.Version() {
-		r.transfers.run(ctx, r, link, r.fetchFleet)
+		r.transfers.run(ctx, r, fetchKey, link, r.fetchFleet)
 	}
 	return nil
 }
--- a/internal/process/router/transfers_test.go
+++ b/internal/process/router/transfers_test.go
@@ -26,8 +26,14 @@
 // narrowLink returns the address of a proxy whose connections share bytesPerSecond in each direction.
 func narrowLink(t *testing.T, address string, bytesPerSecond int) string {
 	t.Helper()
-	ln := listenLoopback(t)
 	up, down := &narrowPipe{bytesPerSecond: bytesPerSecond}, &narrowPipe{bytesPerSecond: bytesPerSecond}
+	return proxy(t, address, up, down)
+}
+
+// proxy returns an address whose connections are passed on through the pipes.
+func proxy(t *testing.T, address string, up, down *narrowPipe) string {
+	t.Helper()
+	ln := listenLoopback(t)
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -219,14 +225,18 @@
 }
 
 // TestWideConfigurationNeverReachesARouter starts a router that can't read the configuration, and gets it from
-// another one over such a link. It gave up each attempt after a second.
+// others over such a link. It gave up each attempt after a second, and fetched it from all at once.
 func TestWideConfigurationNeverReachesARouter(t *testing.T) {
 	t.Parallel()
 	table := newWideFleet(t, "127.0.0.1:1", wideBytes)
-	first, _ := runRouter(t, "first", table, nil)
-	peer := narrowLink(t, first.FleetListener.Addr().String(), narrowBytes)
-	second, log := runRouter(t, "second", cutTable{table}, map[string]string{"first": peer})
-	waitFor(t, wideTime, func() bool { return second.Ready(0) })
+	up, down := &narrowPipe{bytesPerSecond: narrowBytes}, &narrowPipe{bytesPerSecond: narrowBytes}
+	peers := make(map[string]string)
+	for _, name := range []string{"first", "second", "third"} {
+		r, _ := runRouter(t, name, table, nil)
+		peers[name] = proxy(t, r.FleetListener.Addr().String(), up, down)
+	}
+	started, log := runRouter(t, "started", cutTable{table}, peers)
+	waitFor(t, wideTime, func() bool { return started.Ready(0) })
 	assert.Assert(t, !log.contains("link to another router is down"), log.text.String())
 }
 
