--- a/internal/process/gateway/targetfacts.go
+++ b/internal/process/gateway/targetfacts.go
@@ -107,10 +107,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, f := t.fact(target, now)
-	f.Start = maxTime(f.Start, s.start) // the list may be behind
 	limit := assessor.Limit{Fact: f, SentAt: sentAt, Stated: l.Stated, PerSecond: l.PerSecond}
 	changed := s.RecordLimit(limit)
-	t.tellLimit(s, f.Start, changed, now)
+	t.tellLimit(s, target.StartedAt, changed, now)
 	return limit, changed
 }
 
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -74,6 +74,8 @@
 	misdirected bool
 	// announced is when the last start under the ID began that has announced that it leaves.
 	announced time.Time
+	// newest is the highest revision with which the start was listed, in any era.
+	newest uint64
 }
 
 // Registrar holds the list of targets. It is safe for concurrent use.
@@ -100,6 +102,7 @@
 	draining   bool
 	lapsed     bool
 	appearedAt time.Time
+	newest     uint64
 }
 
 // leftMemory is how long a start that has left is remembered: longer than any copy is old.
@@ -146,7 +149,10 @@
 func (r *Registrar) set(e Entry, synced bool) {
 	old := r.targets[e.ID]
 	e.AppearedAt = r.appearedAt(e, synced)
-	t := target{Entry: e, announced: announced(e, old)}
+	t := target{Entry: e, announced: announced(e, old), newest: e.Revision}
+	if old != nil && old.StartedAt.Equal(e.StartedAt) {
+		t.newest = max(t.newest, old.newest)
+	}
 	if old != nil && old.Service == e.Service {
 		*old = t
 		return
@@ -195,7 +201,7 @@
 			delete(r.left, other)
 		}
 	}
-	r.left[id] = leftTarget{startedAt: t.StartedAt, era: t.Era, at: now, draining: t.Draining, lapsed: lapsed, appearedAt: t.AppearedAt}
+	r.left[id] = leftTarget{startedAt: t.StartedAt, era: t.Era, at: now, draining: t.Draining, lapsed: lapsed, appearedAt: t.AppearedAt, newest: t.newest}
 }
 
 // hasLeft reports whether an entry of an older copy is of a start that is known to leave or
@@ -205,18 +211,13 @@
 		return old.Draining && old.Era < e.Era && old.StartedAt.Equal(e.StartedAt)
 	}
 	l, ok := r.left[e.ID]
-	return ok && l.era < e.Era && (l.startedAt.Equal(e.StartedAt) || startedBefore(e.StartedAt, l.startedAt))
-}
-
-// endedBefore reports whether an entry of an older copy is of a start before the known one. A row
-// that was written after the known one tells of a target whose clock is behind.
-func (e Entry) endedBefore(known Entry) bool {
-	return known.Era < e.Era && e.Revision < known.Revision && startedBefore(e.StartedAt, known.StartedAt)
+	return ok && l.era < e.Era && (l.startedAt.Equal(e.StartedAt) || e.endedBefore(l.startedAt, l.newest))
 }
 
-// startedBefore reports whether a start was before another one; targets may state neither.
-func startedBefore(start, other time.Time) bool {
-	return !start.IsZero() && start.Before(other)
+// endedBefore reports whether an entry of an older copy is of a start before a known one, which was listed
+// up to a revision. A row that was written after that tells of a target whose clock is behind.
+func (e Entry) endedBefore(start time.Time, newest uint64) bool {
+	return !e.StartedAt.IsZero() && e.StartedAt.Before(start) && e.Revision < newest
 }
 
 // Serving reports whether a target is still listed as it was, neither draining nor with a
@@ -277,7 +278,7 @@
 			old.removeAt = time.Time{}
 			continue
 		}
-		if old, ok := r.targets[e.ID]; ok && e.endedBefore(old.Entry) {
+		if old, ok := r.targets[e.ID]; ok && old.Era < e.Era && e.endedBefore(old.StartedAt, old.newest) {
 			old.Revision, old.Era, old.removeAt = e.Revision, e.Era, time.Time{}
 			continue
 		}
--- a/internal/request/assessor/assessor.go
+++ b/internal/request/assessor/assessor.go
@@ -44,6 +44,9 @@
 	// maxPause bounds a pause that a target asks for; a mistaken header must not take a
 	// target out of service for good.
 	maxPause = time.Hour
+	// maxDoubtfulPause bounds a pause that may be about another start than the listed one: longer
+	// than the list is usually behind.
+	maxDoubtfulPause = 10 * time.Second
 	// crashLifetime is how long a crash that another router has seen counts against the
 	// target: as long as a router's own first ejection. Its entry may show the next start late.
 	crashLifetime = 500 * time.Millisecond
@@ -116,11 +119,19 @@
 	Until time.Time
 }
 
-// active returns the pause's end if it may be about the given start and is not over, and the zero
-// time otherwise.
+// active returns the pause's end if it is about the given start and not over, and the zero time
+// otherwise. If it only may be about that start, it ends after maxDoubtfulPause.
 func (p Pause) active(start, now time.Time) time.Time {
-	if p.mayBeAbout(start) && now.Before(p.Until) {
-		return p.Until
+	until := p.Until
+	switch doubtful := p.At.Add(maxDoubtfulPause); {
+	case p.about(start):
+	case !p.mayBeAbout(start):
+		return time.Time{}
+	case doubtful.Before(until):
+		until = doubtful
+	}
+	if now.Before(until) {
+		return until
 	}
 	return time.Time{}
 }
--- a/internal/request/assessor/limit.go
+++ b/internal/request/assessor/limit.go
@@ -41,14 +41,18 @@
 
 // RecordLimit records what a response says of the target's limit, and reports whether the limit has
 // changed. Responses arrive in any order: of two that may have been sent at the same time, the
-// lower limit counts.
+// lower limit counts. A response is of the latest known start if that one's limit counts: else it
+// could not end it.
 func (t *Target) RecordLimit(l Limit) bool {
 	known := t.limit
+	if l.Source == Response && l.Start.Before(known.Start) && known.countsFor(l.Start) {
+		l.Start = known.Start
+	}
 	switch {
 	case l.Start.Before(known.Start):
 		return false
 	case known.At.IsZero() || known.Start.Before(l.Start):
-		if !l.Stated {
+		if !l.Stated && !known.countsFor(l.Start) {
 			l = Limit{} // there is nothing to remember
 		}
 	case known.after(l), l.rate() > known.rate() && !l.after(known):
@@ -63,16 +67,17 @@
 // Limit returns the limit of the start with the given time, or of a later one. Its At is zero if
 // nothing is known of them.
 func (t *Target) Limit(start time.Time) Limit {
-	if t.limit.mayBeAbout(start) || t.limit.reportedSince(start) {
+	if t.limit.countsFor(start) {
 		return t.limit
 	}
 	return Limit{}
 }
 
-// reportedSince reports whether another router tells a limit of a response that came after the given
-// start: its list was behind.
-func (l Limit) reportedSince(start time.Time) bool {
-	return l.Source == Peer && !l.At.IsZero() && !start.IsZero() && l.At.Sub(start) > maxReportDelay
+// countsFor reports whether the limit counts for the start with the given time. One that another
+// router tells of a response that came after that start does: its list was behind.
+func (l Limit) countsFor(start time.Time) bool {
+	reportedSince := l.Source == Peer && !l.At.IsZero() && !start.IsZero() && l.At.Sub(start) > maxReportDelay
+	return l.mayBeAbout(start) || reportedSince
 }
 
 // LimitReport is what one router tells another of a target's limit.
