--- a/internal/request/assessor/assessor.go
+++ b/internal/request/assessor/assessor.go
@@ -5,8 +5,9 @@
 // the target's own responses, and the reports of other routers. They arrive late and in any
 // order, and a target may start again under its ID, so each Fact names the start of the
 // target that it is about, its source and when it was learned. A fact about an earlier start
-// never decides, and one about a later start only if it is a pause or a limit: they end, while a
-// target that is taken to leave stays unused. Target is plain data with no clock of its own. It handles these load patterns:
+// never decides, unless its response came after the listed one began. One about a later start
+// decides only if it is a pause or a limit: they end, while a target that is taken to leave stays
+// unused. Target is plain data with no clock of its own. It handles these load patterns:
 //
 //   - Targets that leave while the list is stale. A target states in its responses that it
 //     leaves, often before its entry says so. It takes no request more for the rest of that
