Exchanger: refuse a response whose status is outside 100 to 599

Callers saw: a target in trouble answered an order with status 000 and a body that looked like a response; the client got that body as the answer (200). Without such a body the request waited for the final response until the route's timeout (504), although another target would have answered. A status of 600 was passed on.

Cause: net/http's parser takes any three characters that make a number, 000, 042 or +20 as well, and readHead took each number below 200 for that of an interim response, which it skips.

Evidence: TestStatusOutsideItsRange and cases 9 to 23 of TestAnswers, on: 10 of 11 cases failed ("the body of status 000 is a response": the client received 200 complete bad, right is 502; "status 000 is retried": 504 after 1.03 s, right is 200), and 10 of the 15 cases of the exchanger. The cases that passed there guard what was right.

Result: all of them pass, and the older cases of both files do.

Why it works: the lines of a head are read and checked in one place (head.go) before net/http parses them, and the body is read by the framing that net/http found. What is no status line of HTTP/1.x with a status from 100 to 599 ends the exchange with ErrMalformed, which is an ErrBroken: the request may have run, so it is sent again only where that is allowed, and is never called "not run". A 101 stays an interim response, as case 34 of TestPartLooksComplete asks. A response also keeps the error of its first failed read, since a socket tells an error once and the end after it.

--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -18,6 +18,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -43,6 +44,9 @@
 	// ErrEndless is returned when the target sends bytes that are no response and don't end;
 	// the request may have run.
 	ErrEndless = errors.New("the target sends bytes without end")
+	// ErrMalformed is wrapped by an ErrBroken or ErrTruncated that comes from a header or a trailer which is not that
+	// of an HTTP response.
+	ErrMalformed = errors.New("the target's response is malformed")
 	// ErrTruncated is returned by reads of a body that ended too early.
 	ErrTruncated = errors.New("the response ended too early")
 )
@@ -60,13 +64,6 @@
 	keepAliveInterval = time.Second
 	// unackedTimeout is TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged.
 	unackedTimeout = 2 * time.Second
-	// maxHeaderBytes bounds the header of a response, with the interim responses before it.
-	maxHeaderBytes = 64 << 10
-	// maxHeaderTime is how long a header may take from its first byte to its last, and all
-	// interim responses together.
-	maxHeaderTime = time.Second
-	// maxInterimResponses is how many interim (1xx) responses may come before the final one.
-	maxInterimResponses = 8
 	// maxStrayBytes bounds the body of a response to an earlier request.
 	maxStrayBytes = 1 << 20
 	// probeDialTime is how long Refused waits for an answer to one dial, many round trips
@@ -108,17 +105,16 @@
 	pool       *Pool
 	address    string
 	conn       *conn
-	body       io.ReadCloser
+	body       io.Reader
 	stopWatch  func() bool
 	closesConn bool
-	eof        bool
+	err        error // of the last read
 }
 
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
-	limited   *io.LimitedReader
 	expiresAt time.Time // the connection is not reused after this time
 }
 
@@ -156,33 +152,36 @@
 		if errors.Is(err, ErrEndless) {
 			return nil, err
 		}
-		return nil, errors.Wrap(ErrBroken, err.Error())
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Delimited: delimited, pool: p, address: address,
-		conn: c, body: resp.Body, stopWatch: stopWatch, closesConn: resp.Close || !delimited,
+		conn: c, body: newBody(c.reader, resp), stopWatch: stopWatch, closesConn: resp.Close || !delimited,
 	}, nil
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete, and an error that
 // wraps ErrTruncated otherwise.
 func (r *Response) Read(b []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err // a socket tells an error once, and the end after that
+	}
 	n, err := r.body.Read(b)
 	switch {
 	case err == io.EOF:
-		r.eof = true
+		r.err = err
 	case err != nil:
-		err = errors.Wrap(ErrTruncated, err.Error())
+		r.err = fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
-	return n, err
+	return n, r.err
 }
 
 // Close returns the connection to the pool if the response was read to its end and the
 // connection can be reused, and closes it otherwise.
 func (r *Response) Close() {
 	active := r.stopWatch()
-	if !r.eof || !active || r.closesConn || r.conn.reader.Buffered() > 0 {
+	if r.err != io.EOF || !active || r.closesConn || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
@@ -295,8 +294,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limited := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, limited: limited, reader: bufio.NewReaderSize(limited, 4<<10)}, nil
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, 4<<10)}, nil
 }
 
 func (p *Pool) pop(address string) *conn {
@@ -413,7 +411,7 @@
 		if resp.Close {
 			break
 		}
-		if err := discard(c, resp.Body); err != nil {
+		if err := discard(c, newBody(c.reader, resp)); err != nil {
 			return nil, err
 		}
 	}
@@ -433,42 +431,3 @@
 	}
 	return c.SetReadDeadline(time.Time{})
 }
-
-// readHead reads the header of the final response and skips interim (1xx) ones. A target may
-// take its time before a header, but not within one.
-func readHead(c *conn, method string) (*http.Response, error) {
-	c.limited.N = maxHeaderBytes
-	var firstInterim time.Time
-	for range maxInterimResponses + 1 {
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, headError(c, err)
-		}
-		_ = c.SetReadDeadline(time.Now().Add(maxHeaderTime))
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, headError(c, err)
-		}
-		if err := c.SetReadDeadline(time.Time{}); err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= 200 {
-			c.limited.N = 1 << 62
-			return resp, nil
-		}
-		if firstInterim.IsZero() {
-			firstInterim = time.Now()
-		}
-		if time.Since(firstInterim) > maxHeaderTime {
-			break
-		}
-	}
-	return nil, errors.Wrap(ErrEndless, "interim responses")
-}
-
-// headError returns ErrEndless for an error that comes from a limit of the header.
-func headError(c *conn, err error) error {
-	if c.limited.N <= 0 || errors.Is(err, os.ErrDeadlineExceeded) {
-		return errors.Wrap(ErrEndless, "response header")
-	}
-	return err
-}
--- a/internal/connection/exchanger/exchanger_test.go
+++ b/internal/connection/exchanger/exchanger_test.go
@@ -24,7 +24,8 @@
 func TestAnswers(t *testing.T) {
 	text, err := os.ReadFile("testdata/answers.txt")
 	assert.NilError(t, err)
-	for _, block := range strings.Split(string(text), "\n=== ")[1:] {
+	unescaped := strings.NewReplacer(`\t`, "\t", `\c`, "\x01").Replace(string(text))
+	for _, block := range strings.Split(unescaped, "\n=== ")[1:] {
 		title, rest, _ := strings.Cut(block, "\n")
 		rawResponses, expected, _ := strings.Cut(rest, "--- ")
 		t.Run(title, func(t *testing.T) {
