Exchanger: refuse a response with a field name that is no token

Callers saw: a target sent "Content-Length : 30", a part of the body and closed the connection; the client got the part as a complete answer (200). The same with a blank inside the name, a blank or a tab before it (a folded line), in the head of a late response to an earlier request or of an interim one, or with a transfer encoding, whose chunks then became the body. Names with a blank were passed on to clients.

Cause: net/http's parser keeps names with blanks as they are, which no look-up finds, and joins a folded line with the value before it: the length is lost and the body ends with the connection.

Why it works: each line of a head, an interim head and a trailer is checked by checkField before anything looks at it: a name must be a token right up to the colon, and a value may hold no control byte. RFC 9112 (5.1, 5.2) has a gateway refuse both. Chunks in HTTP/1.0, which the parser takes for the body, are refused as RFC 9112 (6.1) asks. A refused head is an ErrBroken, a refused trailer an ErrTruncated: the request may have run.

--- a/internal/connection/exchanger/head.go
+++ b/internal/connection/exchanger/head.go
@@ -89,6 +89,9 @@
 	if err := readFields(r, head, left); err != nil {
 		return nil, err
 	}
+	if strings.HasPrefix(line, "HTTP/1.0 ") && hasField(head.String(), "Transfer-Encoding") {
+		return nil, malformed("chunks in HTTP/1.0") // net/http would take them for the body
+	}
 	resp, err := http.ReadResponse(bufio.NewReaderSize(head, head.Len()), &http.Request{Method: method})
 	if err != nil {
 		return nil, malformed("%v", err)
@@ -96,6 +99,16 @@
 	return resp, nil
 }
 
+// hasField reports whether a header has a field.
+func hasField(head, name string) bool {
+	for line := range strings.Lines(head) {
+		if n, _, _ := strings.Cut(line, ":"); strings.EqualFold(n, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // readFields reads the lines of a header or of a trailer, up to the empty one, into b.
 func readFields(r *bufio.Reader, b *bytes.Buffer, left *int) error {
 	for {
@@ -107,6 +120,9 @@
 		if line == "" {
 			return nil
 		}
+		if err := checkField(line); err != nil {
+			return err
+		}
 	}
 }
 
@@ -147,6 +163,19 @@
 	return nil
 }
 
+// checkField returns an error that wraps ErrMalformed unless line is a field line. It refuses folded lines: what stands
+// in them is easily taken for a part of the value before.
+func checkField(line string) error {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) {
+		return malformed("field name %.100q", name)
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return malformed("value of field %.100q", name)
+	}
+	return nil
+}
+
 // malformed returns an error that wraps ErrMalformed.
 func malformed(format string, args ...any) error {
 	return errors.Wrapf(ErrMalformed, format, args...)
