Read the answers of the own fleet's targets and of both stores strictly too

Callers saw: the own fleet's agents handed a status of 000, 042, 20 or 600 on, and bodies cut short behind a length whose name holds a blank; the router's client got the part as its answer, or a connection closed by a panic of net/http for a status below 100. Both fleets' clients of the store and the operators' commands read heads in the same way: a store's era in such a line was lost, and its rows counted as those of a store without eras.

Why it works: exchanger.Transport is an http.RoundTripper over exchanger.Pool, so heads, interim heads and trailers of all these readers pass the checks of head.go; no reader has a check of its own. It keeps what the callers had of net/http's transport (TestTransport...): a response is read while a long body is being written, a GET is sent again if an idle connection has ended without an answer, the context ends the call, the dialers are the same. The agents take "not sent" from the pool's own word. URLs are http only, as docs/SETTINGS.md says.

--- a/cmd/egretroute/ctl.go
+++ b/cmd/egretroute/ctl.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"text/tabwriter"
@@ -14,6 +15,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/process/router"
 	"github.com/egretroute/egretroute/internal/version/declarer"
 )
@@ -106,7 +108,7 @@
 		return nil, err
 	}
 	req.Header.Set("Authorization", "Bearer "+c.key)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := exchanger.NewClient(&net.Dialer{}, 0).Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/egretroute/route.go
+++ b/cmd/egretroute/route.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/process/gateway"
 )
 
@@ -88,7 +90,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "ask the router")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := exchanger.NewClient(&net.Dialer{}, 0).Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "ask the router")
 	}
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -2,7 +2,10 @@
 //
 // Unlike net/http's client it never retries a request by itself, it reports whether
 // anything was sent, and it never reuses a connection that could carry bytes of another
-// response.
+// response. It refuses responses with heads or trailers that RFC 9112 does not allow: where
+// the parser of net/http ignores a line, the length that stands in it is lost.
+//
+// All readers of responses share it. A Transport reads them for callers of net/http's client.
 //
 // # Usage
 //
@@ -12,11 +15,13 @@
 //		// The target has not seen the request.
 //	}
 //	defer resp.Close()
+//
+//	client := exchanger.NewClient(&net.Dialer{}, 16) // an *http.Client
 package exchanger
 
 import (
 	"bufio"
-	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -49,6 +54,9 @@
 	ErrMalformed = errors.New("the target's response is malformed")
 	// ErrTruncated is returned by reads of a body that ended too early.
 	ErrTruncated = errors.New("the response ended too early")
+	// errUnanswered is wrapped by an ErrNotSent or ErrBroken of an idle connection that ended without an answer: the
+	// target may have closed it before the request arrived.
+	errUnanswered = errors.New("the idle connection ended")
 )
 
 const (
@@ -82,6 +90,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Upload, if set, is the body in place of Body. It is written while the response is read: a target may answer
+	// before it has read the whole body. Exchange or Response.Close ends its use.
+	Upload io.Reader
+	// UploadLength is the length of Upload in bytes.
+	UploadLength int64
 	// HasBody asks for a Content-Length even for an empty body.
 	HasBody bool
 	// Matches reports whether a response belongs to the request. Late responses to
@@ -106,6 +119,7 @@
 	address    string
 	conn       *conn
 	body       io.Reader
+	upload     *upload
 	stopWatch  func() bool
 	closesConn bool
 	err        error // of the last read
@@ -116,17 +130,25 @@
 	net.Conn
 	reader    *bufio.Reader
 	expiresAt time.Time // the connection is not reused after this time
+	reused    bool
+	answered  bool // a byte has arrived since the last request
 }
 
 // Pool sends requests and keeps idle connections by address. Exported fields are set
 // before the first call.
 type Pool struct {
 	DialTimeout time.Duration
+	// Dialer opens connections, if set, in place of one that has DialTimeout and detects within seconds that the
+	// target's host is gone.
+	Dialer *net.Dialer
 	// MaxIdle is the maximum number of idle connections for each address.
 	MaxIdle int
+	// IdleTimeout is how long a connection may stay idle if the response has no Keep-Alive timeout; 0 means 4 s.
+	IdleTimeout time.Duration
 
-	mu   sync.Mutex // guards idle
-	idle map[string][]*conn
+	mu       sync.Mutex // guards the fields below
+	idle     map[string][]*conn
+	sweeping bool // sweepLater is going to be called
 }
 
 // Exchange sends a request and reads the header of its response. The connection is
@@ -137,10 +159,14 @@
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = c.Close() })
-	if n, err := write(c.Conn, req); err != nil {
+	u, n, err := send(c.Conn, req)
+	if err != nil {
 		stopWatch()
 		_ = c.Close()
-		if n == 0 {
+		switch {
+		case n == 0 && c.reused:
+			return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, errUnanswered, err)
+		case n == 0:
 			return nil, errors.Wrap(ErrNotSent, err.Error())
 		}
 		return nil, errors.Wrap(ErrBroken, err.Error())
@@ -149,15 +175,19 @@
 	if err != nil {
 		stopWatch()
 		_ = c.Close()
-		if errors.Is(err, ErrEndless) {
+		u.wait()
+		switch {
+		case errors.Is(err, ErrEndless):
 			return nil, err
+		case c.reused && !c.answered:
+			return nil, fmt.Errorf("%w: %w: %w", ErrBroken, errUnanswered, err)
 		}
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Delimited: delimited, pool: p, address: address,
-		conn: c, body: newBody(c.reader, resp), stopWatch: stopWatch, closesConn: resp.Close || !delimited,
+		conn: c, body: newBody(c.reader, resp), upload: u, stopWatch: stopWatch, closesConn: resp.Close || !delimited,
 	}, nil
 }
 
@@ -181,11 +211,12 @@
 // connection can be reused, and closes it otherwise.
 func (r *Response) Close() {
 	active := r.stopWatch()
-	if r.err != io.EOF || !active || r.closesConn || r.conn.reader.Buffered() > 0 {
+	if r.err != io.EOF || !active || r.closesConn || !r.upload.complete(r.conn) || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
+		r.upload.wait()
 		return
 	}
-	r.pool.put(r.address, r.conn, idleTimeout(r.Header))
+	r.pool.put(r.address, r.conn, r.pool.idleTimeout(r.Header))
 }
 
 // Probe is what dials to an address have shown.
@@ -236,17 +267,31 @@
 	}
 }
 
-// Run closes idle connections that have expired, that the target has closed or that have received bytes which
-// nobody asked for, until ctx ends. Without it, they hold descriptors until the next request to their address,
-// which never comes if the target has left.
-func (p *Pool) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		pauser.Pause(ctx, sweepInterval)
-		p.sweep(time.Now())
+// CloseIdleConnections closes all idle connections.
+func (p *Pool) CloseIdleConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.idle {
+		for _, c := range conns {
+			_ = c.Close()
+		}
 	}
+	clear(p.idle)
 }
 
-func (p *Pool) sweep(now time.Time) {
+// sweepLater closes idle connections that have expired, that the target has closed or that have received bytes which
+// nobody asked for, each second as long as there are idle ones. Otherwise they would hold descriptors until the next
+// request to their address, which never comes if the target has left.
+func (p *Pool) sweepLater() {
+	time.AfterFunc(sweepInterval, func() {
+		if p.sweep(time.Now()) {
+			p.sweepLater()
+		}
+	})
+}
+
+// sweep checks the idle connections once and reports whether some are left.
+func (p *Pool) sweep(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
@@ -263,6 +308,8 @@
 			delete(p.idle, address)
 		}
 	}
+	p.sweeping = len(p.idle) > 0
+	return p.sweeping
 }
 
 // usable reports whether an idle connection may be used for another request.
@@ -278,6 +325,7 @@
 			break
 		}
 		if c.usable(time.Now()) {
+			c.reused, c.answered = true, false
 			return c, nil
 		}
 		_ = c.Close()
@@ -287,9 +335,12 @@
 
 // dial opens a new connection.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
-	}, Control: setUserTimeout}
+	dialer := p.Dialer
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: p.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
+		}, Control: setUserTimeout}
+	}
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -321,11 +372,15 @@
 	}
 	c.expiresAt = time.Now().Add(idle)
 	p.idle[address] = append(p.idle[address], c)
+	if !p.sweeping {
+		p.sweeping = true
+		p.sweepLater()
+	}
 }
 
 // idleTimeout returns how long a connection may stay idle according to the Keep-Alive
 // header of a response.
-func idleTimeout(h http.Header) time.Duration {
+func (p *Pool) idleTimeout(h http.Header) time.Duration {
 	for _, f := range strings.Split(h.Get("Keep-Alive"), ",") {
 		if s, ok := strings.CutPrefix(strings.TrimSpace(f), "timeout="); ok {
 			if n, err := strconv.Atoi(s); err == nil {
@@ -333,7 +388,7 @@
 			}
 		}
 	}
-	return defaultIdleTimeout
+	return cmp.Or(p.IdleTimeout, defaultIdleTimeout)
 }
 
 // reusable reports whether an idle connection is open and has received no unexpected
@@ -368,32 +423,6 @@
 	return sockErr
 }
 
-// maxCopiedBytes is the size up to which a body is copied behind its head, to be sent with it.
-const maxCopiedBytes = 16 << 10
-
-// write sends a request and returns how many bytes were sent.
-func write(c net.Conn, req Request) (int64, error) {
-	if len(req.Body) > maxCopiedBytes {
-		buffers := net.Buffers{encodeHead(req), req.Body}
-		return buffers.WriteTo(c)
-	}
-	n, err := c.Write(append(encodeHead(req), req.Body...))
-	return int64(n), err
-}
-
-// encodeHead returns the bytes of a request's head.
-func encodeHead(req Request) []byte {
-	var b bytes.Buffer
-	b.Grow(512 + min(len(req.Body), maxCopiedBytes))
-	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
-	_ = req.Header.WriteSubset(&b, map[string]bool{"Host": true, "Content-Length": true}) // writes to a bytes.Buffer never fail
-	if req.HasBody || len(req.Body) > 0 {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
 // maxStrayResponses is how many responses to earlier requests are discarded on one
 // connection before it is given up.
 const maxStrayResponses = 4
--- a/internal/connection/exchanger/head.go
+++ b/internal/connection/exchanger/head.go
@@ -46,6 +46,7 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
+		c.answered = true
 		_ = c.SetReadDeadline(time.Now().Add(maxHeaderTime))
 		resp, err := parseHead(c.reader, method, &left)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/connection/exchanger/idle_test.go
+++ b/internal/connection/exchanger/idle_test.go
@@ -1,7 +1,6 @@
 package exchanger_test
 
 import (
-	"context"
 	"net"
 	"testing"
 	"time"
@@ -49,9 +48,6 @@
 				closed <- time.Since(idleSince)
 			}()
 			pool := &exchanger.Pool{DialTimeout: time.Second, MaxIdle: 2}
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			go pool.Run(ctx)
 			assert.Equal(t, exchange(pool, ln.Addr().String(), "a"), "ok")
 			after := <-closed
 			assert.Assert(t, after < within, "closed after %v", after)
--- /dev/null
+++ b/internal/connection/exchanger/transport.go
@@ -0,0 +1,117 @@
+package exchanger
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Transport is an http.RoundTripper that reads responses as Exchange does. Like that of net/http it sends a request
+// again if an idle connection has ended without an answer, and nothing was sent or the method is idempotent. Exported
+// fields are set before the first request.
+type Transport struct {
+	Pool *Pool
+}
+
+// transportIdleTimeout is how long a Transport's connections may stay idle if a response doesn't say.
+const transportIdleTimeout = 90 * time.Second
+
+// NewClient returns an http.Client with a Transport that keeps up to maxIdle idle connections for each address; 0 opens
+// one for each request.
+func NewClient(dialer *net.Dialer, maxIdle int) *http.Client {
+	return &http.Client{Transport: &Transport{Pool: &Pool{Dialer: dialer, MaxIdle: maxIdle, IdleTimeout: transportIdleTimeout}}}
+}
+
+// CloseIdleConnections implements the interface that http.Client.CloseIdleConnections looks for.
+func (t *Transport) CloseIdleConnections() {
+	t.Pool.CloseIdleConnections()
+}
+
+// RoundTrip implements http.RoundTripper. Errors wrap those of Exchange, and that of the request's context if it has
+// ended.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.exchange(r)
+	if r.Body != nil {
+		_ = r.Body.Close()
+	}
+	if err != nil {
+		if ctxErr := r.Context().Err(); ctxErr != nil {
+			return nil, fmt.Errorf("%w: %w", ctxErr, err)
+		}
+		return nil, err
+	}
+	return &http.Response{
+		Status: fmt.Sprintf("%d %s", resp.Status, http.StatusText(resp.Status)), StatusCode: resp.Status,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: resp.Header, ContentLength: resp.Length,
+		Close: resp.closesConn, Body: responseBody{resp}, Request: r,
+	}, nil
+}
+
+// exchange sends a request, and again on a new connection if an idle one was of no use.
+func (t *Transport) exchange(r *http.Request) (*Response, error) {
+	req, err := t.newRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	address := r.URL.Host
+	if r.URL.Port() == "" {
+		address = net.JoinHostPort(r.URL.Hostname(), "80")
+	}
+	resp, err := t.Pool.Exchange(r.Context(), address, req)
+	if errors.Is(err, errUnanswered) && (errors.Is(err, ErrNotSent) || repeatable(r)) && r.Context().Err() == nil {
+		req.NewConnection = true
+		return t.Pool.Exchange(r.Context(), address, req)
+	}
+	return resp, err
+}
+
+// newRequest converts a request. A short body is read, to be sent with the head.
+func (t *Transport) newRequest(r *http.Request) (Request, error) {
+	if r.URL.Scheme != "http" {
+		return Request{}, errors.Wrapf(ErrNotSent, "the scheme %q is not supported", r.URL.Scheme)
+	}
+	req := Request{Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: r.Header}
+	if req.Host == "" {
+		req.Host = r.URL.Host
+	}
+	if t.Pool.MaxIdle == 0 || r.Close {
+		req.Header = r.Header.Clone()
+		req.Header.Set("Connection", "close")
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		req.HasBody = r.Method != http.MethodGet && r.Method != http.MethodHead
+		return req, nil
+	}
+	if r.ContentLength > maxCopiedBytes {
+		req.Upload, req.UploadLength = r.Body, r.ContentLength
+		return req, nil
+	}
+	var err error
+	req.HasBody = true
+	req.Body, err = io.ReadAll(r.Body)
+	return req, errors.Wrap(err, "read the request's body")
+}
+
+// repeatable reports whether a request may be sent again after it may have run.
+func repeatable(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return r.Body == nil || r.Body == http.NoBody
+	}
+	return false
+}
+
+// responseBody is the body of a Response as net/http's client reads it.
+type responseBody struct {
+	*Response
+}
+
+// Close implements io.Closer.
+func (b responseBody) Close() error {
+	b.Response.Close()
+	return nil
+}
--- a/internal/process/agent/backend.go
+++ b/internal/process/agent/backend.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/connection/framer"
 )
 
@@ -98,8 +98,7 @@
 
 // notReached reports whether an HTTP request failed before any of it was sent.
 func notReached(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return errors.Is(err, exchanger.ErrNotSent)
 }
 
 // AttemptID returns the ID under which a target knows an attempt.
--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -7,24 +7,25 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/connection/framer"
 )
 
 const (
 	maxEventBytes = 1 << 20
-	// maxHeaderBytes bounds the header of a target's response, maxIdleBytes what comes
-	// between two events.
-	maxHeaderBytes    = 64 << 10
+	// maxIdleBytes bounds what comes between two events.
 	maxIdleBytes      = 64 << 10
 	settleTimeout     = 2 * time.Second
 	eventBufferBytes  = 4 << 10
 	eventStreamPrefix = "text/event-stream"
+	maxIdleToEngine   = 256 // connections
 )
 
 // engine is the Backend of a model engine with an OpenAI-compatible API.
@@ -36,8 +37,7 @@
 
 // NewEngine returns the Backend of the engine at url.
 func NewEngine(url, model string) Backend {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &engine{url: url, model: model, http: &http.Client{Transport: transport}}
+	return &engine{url: url, model: model, http: exchanger.NewClient(&net.Dialer{}, maxIdleToEngine)}
 }
 
 // Service implements Backend.Service.
--- a/internal/process/agent/service.go
+++ b/internal/process/agent/service.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/connection/framer"
 )
 
@@ -16,15 +18,18 @@
 	name string
 	http *http.Client
 	// once opens a connection for each request, for those that may run only once:
-	// net/http repeats some requests by itself when a reused connection breaks.
+	// exchanger.Transport repeats some requests by itself when a reused connection breaks.
 	once *http.Client
 }
 
+// maxIdleToService is how many connections to a service may be idle.
+const maxIdleToService = 64
+
 // NewService returns the Backend of the plain service at url.
 func NewService(url, name string) Backend {
 	return &service{
-		url: url, name: name, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeaderBytes}},
-		once: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
+		url: url, name: name,
+		http: exchanger.NewClient(&net.Dialer{}, maxIdleToService), once: exchanger.NewClient(&net.Dialer{}, 0),
 	}
 }
 
@@ -49,7 +54,7 @@
 	if err != nil {
 		return Usage{}, errors.Wrap(ErrNotReached, err.Error())
 	}
-	// Without GetBody, net/http never repeats a request that has a body.
+	// Without GetBody, net/http's client repeats no request that has a body after a redirection.
 	req.GetBody = nil
 	client := b.http
 	if run.NonIdempotent {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -283,7 +283,6 @@
 	g.workers.Go(func() { g.followTargets(workCtx) })
 	g.workers.Go(func() { g.followMembers(workCtx) })
 	g.workers.Go(func() { g.tendMembers(workCtx) })
-	g.workers.Go(func() { g.pool.Run(workCtx) })
 	g.workers.Go(func() { g.followCrashes(workCtx) })
 	g.workers.Go(func() { g.archiver.Run(workCtx) })
 	g.workers.Go(func() { g.pushReports(workCtx) })
--- a/internal/process/storer/client.go
+++ b/internal/process/storer/client.go
@@ -5,18 +5,19 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/process/timekeeper"
 )
 
 const (
 	maxIdleConnections = 16
-	// maxHeaderBytes and maxResponseBytes bound a response.
-	maxHeaderBytes   = 64 << 10
+	// maxResponseBytes bounds a response.
 	maxResponseBytes = 64 << 20
 )
 
@@ -34,8 +35,7 @@
 // NewClient returns a client for the platform at url. The timeout bounds each commit, and of a read the
 // time until the reply arrives and between its parts.
 func NewClient(url string, timeout time.Duration) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &Client{URL: url, HTTP: &http.Client{Transport: transport}, timeout: timeout}
+	return &Client{URL: url, HTTP: exchanger.NewClient(&net.Dialer{}, maxIdleConnections), timeout: timeout}
 }
 
 // Wire types of the table service.
