Router: an agent's head needs the status of a response

Callers saw: a closed connection without an answer, where an agent handed a status below 100 or above 999 on; a status of 103 with a body was billed as answered. Agents hand none on any more, but one of an earlier version does, and so does the replay of an answer that was stored before.

Cause: the router wrote the status that its peer named; net/http's WriteHeader panics outside 100 to 999 ("invalid WriteHeader code 0") and takes 103 for an interim response.

Evidence: cases 25 to 29 of TestResponsesAreCompleteAndFromOneAttempt failed before (four with EOF, one with outcome answered instead of failed-after-start). Case 30, a 404, held.

Result: all cases pass.

Why it works: a Head whose status is none of a final response counts like a missing one, which already ends the attempt as failed-after-start (answer-broken): it has run, and is billed and may be sent again only where that is allowed. The range is exchanger's.

--- a/internal/process/router/attempt.go
+++ b/internal/process/router/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/agent"
@@ -151,7 +152,7 @@
 	run      *framer.Run
 	response *clientResponse
 
-	headed     bool // the Head has arrived
+	headed     bool // the Head has arrived and has the status of a response
 	bytes      int64
 	hash       xxhash.Digest
 	events     int64
@@ -198,7 +199,7 @@
 // begin starts the response. What arrived before the Head does not count as part of the
 // body, since clientResponse.setHead discards it.
 func (rr *responseReader) begin(m *framer.Head) {
-	rr.headed, rr.bytes = true, 0
+	rr.headed, rr.bytes = exchanger.IsFinalStatus(m.Status), 0
 	rr.hash.Reset()
 	rr.response.setHead(m.Status, m.ContentType)
 }
@@ -228,7 +229,7 @@
 }
 
 // verify compares the size and checksum of the body received since the Head with those
-// that the agent sent, and fails the result if they differ or if there was no Head.
+// that the agent sent, and fails the result if they differ or if there was no sound Head.
 func (rr *responseReader) verify(end *framer.End, res *result) {
 	if end.Outcome != framer.OutcomeAnswered {
 		return
--- a/internal/process/router/responses_test.go
+++ b/internal/process/router/responses_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -78,6 +79,9 @@
 		switch kind {
 		case "head":
 			_ = s.Write(&framer.Head{Attempt: run.Attempt, Status: http.StatusOK, ContentType: "text/event-stream"})
+		case "status":
+			status, _ := strconv.Atoi(text) // the scripts have numbers
+			_ = s.Write(&framer.Head{Attempt: run.Attempt, Status: status, ContentType: "text/plain"})
 		case "chunk":
 			_, _ = sum.Write(event(text))
 			bytes += int64(len(event(text)))
