Exchanger: a body without a length is whole only if the request was written whole

Callers saw: a service answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written; the own fleet's agent passed the part on as the complete answer. The gateways did not.

Cause: a socket tells a reset once. While an agent writes and reads at the same time, the write that waits often takes that error, and the read after it finds the regular end of the connection, which is how a body without a length ends. Both net/http's transport and exchanger.Transport, without this commit, take it for the end of the body. A gateway writes the whole request before it reads, and an error of the write ends the exchange.

Why it works: at the end of a body without a length, Response.Read asks whether the whole request was accepted by the connection. A target that has read the request has let the write end; a write that failed or still waits then makes the body a truncated one, and the request one that may have run.

--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -192,13 +192,16 @@
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete, and an error that
-// wraps ErrTruncated otherwise.
+// wraps ErrTruncated otherwise. A body without a length is complete only if the request was
+// written to its end: a reset is told to the write alone, and reads like a regular end.
 func (r *Response) Read(b []byte) (int, error) {
 	if r.err != nil {
 		return 0, r.err // a socket tells an error once, and the end after that
 	}
 	n, err := r.body.Read(b)
 	switch {
+	case err == io.EOF && !r.Delimited && !r.upload.complete(r.conn):
+		r.err = errors.Wrap(ErrTruncated, "no length, and the request was not written to its end")
 	case err == io.EOF:
 		r.err = err
 	case err != nil:
--- a/internal/connection/exchanger/transport_test.go
+++ b/internal/connection/exchanger/transport_test.go
@@ -117,6 +117,49 @@
 	}
 }
 
+// TestEndOfBodyWithoutLength closes connections after a body without a length. It is complete only if the target has
+// read the request.
+func TestEndOfBodyWithoutLength(t *testing.T) {
+	for name, tt := range map[string]struct {
+		reads bool
+		reset bool
+		ok    bool
+	}{
+		"a close after the request":            {true, false, true},
+		"a reset after the request":            {true, true, false},
+		"a close while the request is written": {false, false, false},
+		"a reset while the request is written": {false, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if tt.reads {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(5 * time.Millisecond) // a reset may discard bytes that were not read
+				if tt.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				} else {
+					_ = conn.(*net.TCPConn).CloseWrite()
+					time.Sleep(5 * time.Millisecond)
+				}
+			}))
+			defer srv.Close()
+			client := newClient(2)
+			for range 20 {
+				got, err := post(t.Context(), client, srv.URL, longBody)
+				assert.Equal(t, err == nil, tt.ok, "%q: %v", got, err)
+			}
+		})
+	}
+}
+
 // TestTransportEndsWithItsContext cancels requests whose target neither reads nor answers.
 func TestTransportEndsWithItsContext(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
