Agent: a malformed response is no crash of the target

Callers would have seen: once malformed responses are refused, a target in trouble that answers each request with a broken head makes the own fleet take its requests for ones that crash targets. From the third on, requests with the same contents are refused as poison (422) at sound targets too.

Cause: an agent's service took each response that it couldn't read for a crash of the target, and so did its engine if the target didn't tell the usage either.

Why it works: a head or trailer that was read shows that the target is up. The run still counts as one that has run and failed, is settled and billed as before, and the router counts a failure against the target. A reset, or an end before the end of a head, is still a crash.

--- a/internal/process/agent/engine.go
+++ b/internal/process/agent/engine.go
@@ -87,7 +87,7 @@
 	case settleErr != nil:
 		// ErrUnknownAttempt is not final either: the request may still be in a
 		// buffer on its way to the target, so the target must be asked again.
-		return observed, errors.Wrap(ErrUnsettled, err.Error())
+		return observed, fmt.Errorf("%w: %w", ErrUnsettled, err)
 	case ctx.Err() != nil:
 		return usage, errors.Wrap(ctx.Err(), "run canceled")
 	default:
--- a/internal/process/agent/heads_test.go
+++ b/internal/process/agent/heads_test.go
@@ -16,6 +16,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/egretroute/egretroute/internal/connection/framer"
+	"github.com/egretroute/egretroute/internal/process/storer"
+	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
 // serveOnce starts a target that sends the same bytes for each request and closes the connection.
@@ -90,3 +92,27 @@
 		assert.Equal(t, NewEngine(url, "m").Probe(t.Context()), want, response)
 	}
 }
+
+// TestMalformedResponseIsNoCrash runs a request at targets whose responses are malformed. It has run and failed, but it
+// must not count as one that crashes targets, which later ones with the same contents would be refused for.
+func TestMalformedResponseIsNoCrash(t *testing.T) {
+	for name, response := range map[string]string{
+		"status 000":                "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
+		"blank in a name":           "HTTP/1.1 200 OK\r\nX Note: a\r\nContent-Length: 2\r\n\r\n{}",
+		"blank in a trailer's name": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Note: a\r\n\r\n",
+	} {
+		for kind, newBackend := range map[string]func(url, name string) Backend{"service": NewService, "engine": NewEngine} {
+			t.Run(kind+": "+name, func(t *testing.T) {
+				a, address := startAgentOf(t, newBackend(serveOnce(t, response), "orders"), storer.NewMemory())
+				for attempt := range uint64(3) {
+					_, stream := sendRun(t, address, &framer.Run{Attempt: attempt, Body: []byte("{}"), Digest: "d"})
+					end := receiveResponse(t, stream).end
+					assert.Equal(t, end.Outcome, framer.OutcomeFailedAfterStart)
+					assert.Equal(t, end.Reason, ReasonFailed)
+					assert.Equal(t, len(end.Crashes), 0)
+				}
+				assert.Equal(t, a.Suspects.Verdict("d"), suspecter.Innocent)
+			})
+		}
+	}
+}
--- a/internal/process/agent/replays_test.go
+++ b/internal/process/agent/replays_test.go
@@ -91,11 +91,16 @@
 
 // startAgent runs an agent of the service at url and returns it with its address.
 func startAgent(t *testing.T, url string, table storer.Table) (*Agent, string) {
+	return startAgentOf(t, NewService(url, "orders"), table)
+}
+
+// startAgentOf runs an agent of a backend and returns it with its address.
+func startAgentOf(t *testing.T, backend Backend, table storer.Table) (*Agent, string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	a := &Agent{
 		Target: "orders-1", Incarnation: "orders-1@1", Secret: []byte("secret"),
-		Backend: NewService(url, "orders"), Queue: queuer.New(1), Claims: &claimer.Claimer{Table: table},
+		Backend: backend, Queue: queuer.New(1), Claims: &claimer.Claimer{Table: table},
 		Follower: &follower.Follower{}, Suspects: suspecter.New(time.Now), Log: slog.New(slog.DiscardHandler),
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
@@ -111,16 +116,19 @@
 
 // sendOrder sends one attempt of the same order over a new link.
 func sendOrder(t *testing.T, address string, attempt uint64) (*linker.Link, *linker.Stream) {
+	return sendRun(t, address, &framer.Run{Attempt: attempt, Body: []byte("x"), Key: "key", NonIdempotent: true})
+}
+
+// sendRun sends a run, which gets what all runs have, over a new link.
+func sendRun(t *testing.T, address string, run *framer.Run) (*linker.Link, *linker.Stream) {
 	link, err := linker.Dial(context.Background(), address, []byte("secret"), linker.Identity{Name: "router-1"})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = link.Close() })
 	stream, err := link.Open()
 	assert.NilError(t, err)
-	assert.NilError(t, stream.Write(&framer.Run{
-		Attempt: attempt, RequestID: fmt.Sprint("request-", attempt), RouterInstance: "router-1@1",
-		Organisation: "alpha", Target: "orders-1", Method: http.MethodPost, Path: "/orders", Body: []byte("x"),
-		Key: "key", NonIdempotent: true,
-	}))
+	run.RequestID, run.RouterInstance, run.Organisation = fmt.Sprint("request-", run.Attempt), "router-1@1", "alpha"
+	run.Target, run.Method, run.Path = "orders-1", http.MethodPost, "/orders"
+	assert.NilError(t, stream.Write(run))
 	return link, stream
 }
 
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretroute/egretroute/internal/connection/budgeter"
+	"github.com/egretroute/egretroute/internal/connection/exchanger"
 	"github.com/egretroute/egretroute/internal/connection/framer"
 	"github.com/egretroute/egretroute/internal/connection/linker"
 	"github.com/egretroute/egretroute/internal/process/logger"
@@ -206,7 +207,7 @@
 	suspect, start := a.isSuspect(run), a.Suspects.Start(a.Incarnation)
 	usage, err := a.Backend.Execute(ctx, run, w)
 	unsettled := errors.Is(err, ErrUnsettled)
-	crashed := errors.Is(err, ErrCrashed) || (unsettled && ctx.Err() == nil)
+	crashed := errors.Is(err, ErrCrashed) || (unsettled && ctx.Err() == nil && !errors.Is(err, exchanger.ErrMalformed))
 	end := &framer.End{
 		Outcome: framer.OutcomeAnswered, PromptTokens: usage.Prompt, OutputTokens: usage.Output + usage.Fixed,
 	}
--- a/internal/process/agent/service.go
+++ b/internal/process/agent/service.go
@@ -72,15 +72,12 @@
 		if notReached(err) {
 			return Usage{}, errors.Wrap(ErrNotReached, err.Error())
 		}
-		return usage, errors.Wrap(ErrCrashed, err.Error())
+		return usage, interruption(err)
 	}
 	defer resp.Body.Close()
 	body, err := readResponse(resp.Body)
-	switch {
-	case errors.Is(err, errResponseTooLong):
-		return usage, err // the target is up
-	case err != nil:
-		return usage, errors.Wrap(ErrCrashed, err.Error())
+	if err != nil {
+		return usage, interruption(err)
 	}
 	// The request has run, although its response may not be deliverable. The sink gets
 	// the whole response even so, since it may keep it for replay.
@@ -88,3 +85,11 @@
 	_ = sink.Data(body)
 	return usage, nil
 }
+
+// interruption returns the error of a run whose response was not read to its end: ErrCrashed unless the target is up.
+func interruption(err error) error {
+	if errors.Is(err, errResponseTooLong) || errors.Is(err, exchanger.ErrMalformed) {
+		return err
+	}
+	return errors.Wrap(ErrCrashed, err.Error())
+}
