Exchanger: its Transport speaks TLS, as net/http's does

Why it works: a Transport has a second pool whose connections make the handshake after the dial. Lines of a head are copied once less, too.

--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -23,6 +23,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -66,6 +67,7 @@
 	sweepInterval = time.Second
 	// defaultIdleTimeout applies if the response has no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
+	readBufferBytes    = 4 << 10
 	// keepAliveInterval is the time between TCP keep-alive probes, which detect dead
 	// connections. The target's host acknowledges them, so they don't fail because the
 	// target is busy.
@@ -141,6 +143,8 @@
 	// Dialer opens connections, if set, in place of one that has DialTimeout and detects within seconds that the
 	// target's host is gone.
 	Dialer *net.Dialer
+	// TLS, if set, is the configuration of the connections.
+	TLS *tls.Config
 	// MaxIdle is the maximum number of idle connections for each address.
 	MaxIdle int
 	// IdleTimeout is how long a connection may stay idle if the response has no Keep-Alive timeout; 0 means 4 s.
@@ -348,7 +352,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, 4<<10)}, nil
+	if p.TLS != nil {
+		if nc, err = p.secure(ctx, nc, address); err != nil {
+			return nil, err
+		}
+	}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+}
+
+// secure makes the handshake of TLS. It closes the connection if that fails.
+func (p *Pool) secure(ctx context.Context, nc net.Conn, address string) (net.Conn, error) {
+	cfg := p.TLS.Clone()
+	if host, _, err := net.SplitHostPort(address); err == nil && cfg.ServerName == "" {
+		cfg.ServerName = host
+	}
+	c := tls.Client(nc, cfg)
+	if err := c.HandshakeContext(ctx); err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	return c, nil
 }
 
 func (p *Pool) pop(address string) *conn {
--- a/internal/connection/exchanger/head.go
+++ b/internal/connection/exchanger/head.go
@@ -117,7 +117,8 @@
 		if err != nil {
 			return err
 		}
-		b.WriteString(line + "\r\n")
+		b.WriteString(line)
+		b.WriteString("\r\n")
 		if line == "" {
 			return nil
 		}
@@ -129,17 +130,17 @@
 
 // readLine reads a line without its end and counts its bytes as used.
 func readLine(r *bufio.Reader, left *int) (string, error) {
-	var line []byte
+	var begin string // of a line that is longer than the buffer
 	for {
 		piece, err := r.ReadSlice('\n')
 		if *left -= len(piece); *left < 0 {
 			return "", errors.Wrap(ErrEndless, "response header")
 		}
-		line = append(line, piece...)
 		switch err {
 		case nil:
-			return string(bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))), nil
-		case bufio.ErrBufferFull: // the line goes on
+			return strings.TrimSuffix(begin+string(piece[:len(piece)-1]), "\r"), nil
+		case bufio.ErrBufferFull:
+			begin += string(piece)
 		default:
 			return "", err
 		}
--- a/internal/connection/exchanger/transport.go
+++ b/internal/connection/exchanger/transport.go
@@ -1,6 +1,8 @@
 package exchanger
 
 import (
+	"cmp"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +17,8 @@
 // fields are set before the first request.
 type Transport struct {
 	Pool *Pool
+	// Secure is the pool for URLs whose scheme is https; its TLS is set.
+	Secure *Pool
 }
 
 // transportIdleTimeout is how long a Transport's connections may stay idle if a response doesn't say.
@@ -23,12 +27,16 @@
 // NewClient returns an http.Client with a Transport that keeps up to maxIdle idle connections for each address; 0 opens
 // one for each request.
 func NewClient(dialer *net.Dialer, maxIdle int) *http.Client {
-	return &http.Client{Transport: &Transport{Pool: &Pool{Dialer: dialer, MaxIdle: maxIdle, IdleTimeout: transportIdleTimeout}}}
+	newPool := func(cfg *tls.Config) *Pool {
+		return &Pool{Dialer: dialer, TLS: cfg, MaxIdle: maxIdle, IdleTimeout: transportIdleTimeout}
+	}
+	return &http.Client{Transport: &Transport{Pool: newPool(nil), Secure: newPool(&tls.Config{})}}
 }
 
 // CloseIdleConnections implements the interface that http.Client.CloseIdleConnections looks for.
 func (t *Transport) CloseIdleConnections() {
 	t.Pool.CloseIdleConnections()
+	t.Secure.CloseIdleConnections()
 }
 
 // RoundTrip implements http.RoundTripper. Errors wrap those of Exchange, and that of the request's context if it has
@@ -53,32 +61,32 @@
 
 // exchange sends a request, and again on a new connection if an idle one was of no use.
 func (t *Transport) exchange(r *http.Request) (*Response, error) {
-	req, err := t.newRequest(r)
+	pool, port := t.Pool, "80"
+	switch r.URL.Scheme {
+	case "http":
+	case "https":
+		pool, port = t.Secure, "443"
+	default:
+		return nil, errors.Wrapf(ErrNotSent, "the scheme %q is not supported", r.URL.Scheme)
+	}
+	req, err := newRequest(r, pool.MaxIdle == 0)
 	if err != nil {
 		return nil, err
 	}
-	address := r.URL.Host
-	if r.URL.Port() == "" {
-		address = net.JoinHostPort(r.URL.Hostname(), "80")
-	}
-	resp, err := t.Pool.Exchange(r.Context(), address, req)
+	address := net.JoinHostPort(r.URL.Hostname(), cmp.Or(r.URL.Port(), port))
+	resp, err := pool.Exchange(r.Context(), address, req)
 	if errors.Is(err, errUnanswered) && (errors.Is(err, ErrNotSent) || repeatable(r)) && r.Context().Err() == nil {
 		req.NewConnection = true
-		return t.Pool.Exchange(r.Context(), address, req)
+		return pool.Exchange(r.Context(), address, req)
 	}
 	return resp, err
 }
 
-// newRequest converts a request. A short body is read, to be sent with the head.
-func (t *Transport) newRequest(r *http.Request) (Request, error) {
-	if r.URL.Scheme != "http" {
-		return Request{}, errors.Wrapf(ErrNotSent, "the scheme %q is not supported", r.URL.Scheme)
-	}
-	req := Request{Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: r.Header}
-	if req.Host == "" {
-		req.Host = r.URL.Host
-	}
-	if t.Pool.MaxIdle == 0 || r.Close {
+// newRequest converts a request, which may ask for the close of its connection. A short body is read, to be sent with
+// the head.
+func newRequest(r *http.Request, closes bool) (Request, error) {
+	req := Request{Method: r.Method, URI: r.URL.RequestURI(), Host: cmp.Or(r.Host, r.URL.Host), Header: r.Header}
+	if closes || r.Close {
 		req.Header = r.Header.Clone()
 		req.Header.Set("Connection", "close")
 	}
--- a/internal/connection/exchanger/transport_test.go
+++ b/internal/connection/exchanger/transport_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"crypto/x509"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -172,6 +174,28 @@
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
 		assert.Assert(t, !errors.Is(err, exchanger.ErrNotSent))
 	}
-	_, err = post(t.Context(), newClient(2), "https://"+ln.Addr().String(), nil)
+}
+
+// TestTransportUsesTLS sends requests to a target with a certificate, which counts as one that wasn't reached unless the
+// certificate is known.
+func TestTransportUsesTLS(t *testing.T) {
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	srv.Config.ErrorLog = log.New(io.Discard, "", 0)
+	srv.StartTLS()
+	defer srv.Close()
+	_, err := post(t.Context(), newClient(2), srv.URL, []byte("text"))
+	assert.ErrorIs(t, err, exchanger.ErrNotSent)
+	client := newClient(2)
+	roots := x509.NewCertPool()
+	roots.AddCert(srv.Certificate())
+	client.Transport.(*exchanger.Transport).Secure.TLS.RootCAs = roots
+	for range 2 {
+		got, err := post(t.Context(), client, srv.URL, []byte("text"))
+		assert.NilError(t, err)
+		assert.Equal(t, got, "text")
+	}
+	_, err = post(t.Context(), client, "ftp"+strings.TrimPrefix(srv.URL, "https"), nil)
 	assert.ErrorIs(t, err, exchanger.ErrNotSent)
 }
