--- a/internal/connection/exchanger/endless_test.go
+++ b/internal/connection/exchanger/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"runtime"
 	"strings"
 	"sync"
@@ -88,8 +89,11 @@
 	}
 }
 
-// FuzzResponse answers a request with any bytes. The exchange must end without a panic, and a
-// body counts as complete only if it is as long as the header says.
+// fieldName matches the names of fields that RFC 9110 (5.1) allows.
+var fieldName = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+$")
+
+// FuzzResponse answers a request with any bytes. The exchange must end without a panic, its status and the names of its
+// fields must be ones that HTTP has, and a body counts as complete only if it is as long as the header says.
 func FuzzResponse(f *testing.F) {
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -97,6 +101,8 @@
 		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 5\r\n\r\nok", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Note: a\r\n\r\n",
 		"HTTP/1.0 200 OK\r\n\r\nok", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "HTTP/1.1 ", "\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
 	} {
 		f.Add(seed)
@@ -114,7 +120,10 @@
 			return
 		}
 		defer resp.Close()
-		assert.Assert(t, resp.Status >= 200, resp.Status)
+		assert.Assert(t, resp.Status >= 200 && resp.Status <= 599, resp.Status)
+		for name := range resp.Header {
+			assert.Assert(t, fieldName.MatchString(name), "%q", name)
+		}
 		body, err := io.ReadAll(resp)
 		if err == nil && resp.Length >= 0 {
 			assert.Equal(t, int64(len(body)), resp.Length)
