Transport: close a request's body when its upload has ended

net/http asks a RoundTripper to close the body of a request once it no longer reads it. RoundTrip did so when it had the head of the response, while a long body may still be read. No caller of today saw that: their bodies are bytes in memory, whose Close does nothing. The response's Close does it now, after it has waited for the upload; a body that can't be read counts as a request that was not sent. Found by reading; the tests of exchanger and agents pass with the race detector.

--- a/internal/connection/exchanger/head.go
+++ b/internal/connection/exchanger/head.go
@@ -24,11 +24,12 @@
 )
 
 const (
-	// minFinalStatus is the lowest status of a final response, maxStatus the highest one of any (RFC 9110, 15).
+	// minStatus and maxStatus bound the status of a response, minFinalStatus that of a final one (RFC 9110, 15).
+	minStatus      = 100
 	minFinalStatus = 200
 	maxStatus      = 599
-	minStatus      = 100
 	statusDigits   = 3
+	// protocolPrefix is how a status line begins.
 	protocolPrefix = "HTTP/1."
 )
 
@@ -71,8 +72,8 @@
 	return nil, errors.Wrap(ErrEndless, "interim responses")
 }
 
-// parseHead reads the header of one response, of at most left bytes. net/http parses it, and takes more than RFC 9112
-// allows: each line is checked first. The body of the response is not valid.
+// parseHead reads the header of one response, of at most left bytes. Each line is checked before net/http parses the
+// header, since its parser takes more than RFC 9112 allows. The body of the returned response must not be read.
 func parseHead(r *bufio.Reader, method string, left *int) (*http.Response, error) {
 	if start, err := r.Peek(len(protocolPrefix)); err != nil {
 		return nil, err
--- a/internal/connection/exchanger/transport.go
+++ b/internal/connection/exchanger/transport.go
@@ -43,10 +43,9 @@
 // ended.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.exchange(r)
-	if r.Body != nil {
-		_ = r.Body.Close()
-	}
+	body := responseBody{Response: resp, request: r}
 	if err != nil {
+		body.closeRequest()
 		if ctxErr := r.Context().Err(); ctxErr != nil {
 			return nil, fmt.Errorf("%w: %w", ctxErr, err)
 		}
@@ -55,7 +54,7 @@
 	return &http.Response{
 		Status: fmt.Sprintf("%d %s", resp.Status, http.StatusText(resp.Status)), StatusCode: resp.Status,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: resp.Header, ContentLength: resp.Length,
-		Close: resp.closesConn, Body: responseBody{resp}, Request: r,
+		Close: resp.closesConn, Body: body, Request: r,
 	}, nil
 }
 
@@ -98,10 +97,12 @@
 		req.Upload, req.UploadLength = r.Body, r.ContentLength
 		return req, nil
 	}
-	var err error
-	req.HasBody = true
-	req.Body, err = io.ReadAll(r.Body)
-	return req, errors.Wrap(err, "read the request's body")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return Request{}, errors.Wrapf(ErrNotSent, "read the request's body: %v", err)
+	}
+	req.Body, req.HasBody = body, true
+	return req, nil
 }
 
 // repeatable reports whether a request may be sent again after it may have run.
@@ -116,10 +117,18 @@
 // responseBody is the body of a Response as net/http's client reads it.
 type responseBody struct {
 	*Response
+	request *http.Request
 }
 
-// Close implements io.Closer.
+// Close implements io.Closer. The request's body may be in use until then.
 func (b responseBody) Close() error {
 	b.Response.Close()
+	b.closeRequest()
 	return nil
 }
+
+func (b responseBody) closeRequest() {
+	if b.request.Body != nil {
+		_ = b.request.Body.Close()
+	}
+}
