--- a/internal/process/agent/heads_test.go
+++ b/internal/process/agent/heads_test.go
@@ -20,8 +20,8 @@
 	"github.com/egretroute/egretroute/internal/request/suspecter"
 )
 
-// serveOnce starts a target that sends the same bytes for each request and closes the connection.
-func serveOnce(t *testing.T, response string) (url string) {
+// serveConnections starts a target that serves and closes each of its connections and returns its URL.
+func serveConnections(t *testing.T, serve func(conn *net.TCPConn)) (url string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -30,18 +30,26 @@
 		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
 			go func() {
 				defer conn.Close()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(conn, response)
+				serve(conn.(*net.TCPConn))
 			}()
 		}
 	}()
 	return "http://" + ln.Addr().String()
 }
 
+// serveResponse starts a target that sends the same bytes for each request.
+func serveResponse(t *testing.T, response string) (url string) {
+	t.Helper()
+	return serveConnections(t, func(conn *net.TCPConn) {
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(conn, response)
+	})
+}
+
 // headSink is a recordingSink that keeps the status too.
 type headSink struct {
 	recordingSink
@@ -69,7 +77,7 @@
 				defer cancel()
 				sink := &headSink{}
 				run := &framer.Run{Method: http.MethodPost, Path: "/", Body: []byte("{}")}
-				_, err := newBackend(serveOnce(t, response), "orders").Execute(ctx, run, sink)
+				_, err := newBackend(serveResponse(t, response), "orders").Execute(ctx, run, sink)
 				assert.Assert(t, err != nil, "status %d and %q were passed on", sink.status, sink.body.String())
 				assert.Assert(t, !errors.Is(err, ErrNotReached), "the request counts as not sent: %v", err)
 				assert.Equal(t, sink.body.Len(), 0)
@@ -87,7 +95,7 @@
 		"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n":             false,
 		"HTTP/1.1 200 OK\r\nX Note: a\r\nContent-Length: 0\r\n\r\n":     false,
 	} {
-		url := serveOnce(t, response)
+		url := serveResponse(t, response)
 		assert.Equal(t, NewService(url, "orders").Probe(t.Context()), want, response)
 		assert.Equal(t, NewEngine(url, "m").Probe(t.Context()), want, response)
 	}
@@ -103,7 +111,7 @@
 	} {
 		for kind, newBackend := range map[string]func(url, name string) Backend{"service": NewService, "engine": NewEngine} {
 			t.Run(kind+": "+name, func(t *testing.T) {
-				a, address := startAgentOf(t, newBackend(serveOnce(t, response), "orders"), storer.NewMemory())
+				a, address := startAgentOf(t, newBackend(serveResponse(t, response), "orders"), storer.NewMemory())
 				for attempt := range uint64(3) {
 					_, stream := sendRun(t, address, &framer.Run{Attempt: attempt, Body: []byte("{}"), Digest: "d"})
 					end := receiveResponse(t, stream).end
--- a/internal/process/agent/uploads_test.go
+++ b/internal/process/agent/uploads_test.go
@@ -24,21 +24,12 @@
 // length, and resets the connection while the rest of the request is being written.
 func serveUploads(t *testing.T) (url string) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
-			go func() {
-				defer conn.Close()
-				_, _ = conn.Read(make([]byte, 4096))
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart")
-				time.Sleep(5 * time.Millisecond) // a reset may discard bytes that were not read
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
-	return "http://" + ln.Addr().String()
+	return serveConnections(t, func(conn *net.TCPConn) {
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart")
+		time.Sleep(5 * time.Millisecond) // a reset may discard bytes that were not read
+		_ = conn.SetLinger(0)
+	})
 }
 
 // TestPartAnswersAnUnfinishedUpload guards against a part of a response without a length that is passed on as a complete
