Assessor: of two crashes at the same time, the one this router has seen counts

Callers saw nothing of it: two facts of the same start and the same time, one of them hearsay, are not known outside the test.

Cause: RecordCrash compared the times only, where RecordLeaving goes by the source as well.

Why it works: the order of facts with equal start and time is that of their sources now, whichever comes first. The test is unchanged.

--- a/internal/request/assessor/assessor.go
+++ b/internal/request/assessor/assessor.go
@@ -228,9 +228,11 @@
 	return known.Until
 }
 
-// RecordCrash records that the target crashed at f.At.
+// RecordCrash records that the target crashed at f.At. What this router has seen replaces what others say of the same
+// time.
 func (t *Target) RecordCrash(f Fact) {
-	if t.crashed.superseded(f.Start) || (t.crashed.Start.Equal(f.Start) && t.crashed.At.Before(f.At)) {
+	newer := t.crashed.At.Before(f.At) || (t.crashed.At.Equal(f.At) && f.Source < t.crashed.Source)
+	if t.crashed.superseded(f.Start) || (t.crashed.Start.Equal(f.Start) && newer) {
 		t.crashed = f
 	}
 }
