Transport: a request that was redirected has been sent

Callers saw: a target of the own fleet answered with a redirection to where nothing can be reached; the agent said that the request had not run, and the router told its client so (not-run).

Cause: net/http's client follows the redirection, and the failed dial of the second request counts as the first one's.

Why it works: a request that comes of a redirection carries the response that caused it. An ErrNotSent of such a request becomes an ErrBroken in the Transport: the one before it was sent, and may have run.

--- a/internal/connection/exchanger/transport.go
+++ b/internal/connection/exchanger/transport.go
@@ -44,6 +44,9 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.exchange(r)
 	body := responseBody{Response: resp, request: r}
+	if errors.Is(err, ErrNotSent) && r.Response != nil {
+		err = errors.Wrapf(ErrBroken, "after a redirection: %v", err) // the request before it was sent
+	}
 	if err != nil {
 		body.closeRequest()
 		if ctxErr := r.Context().Err(); ctxErr != nil {
