--- a/review/fleetplay/polls.go
+++ b/review/fleetplay/polls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -11,12 +12,10 @@
 )
 
 const (
-	// alphaInterval and betaInterval are the times between two requests of the tenants: beta's are 28 in 100 of all, and all together keep
-	// three fifths of the targets' slots busy.
-	alphaInterval = 8 * time.Millisecond
-	betaInterval  = 20 * time.Millisecond
-	pollTimeout   = 1500 * time.Millisecond
-	pollTime      = 60 * time.Second
+	// pollInterval is the mean time between two requests of a tenant, at random: those of all tenants keep three fifths of the targets' slots busy.
+	pollInterval = 11500 * time.Microsecond
+	pollTimeout  = 1500 * time.Millisecond
+	pollTime     = 60 * time.Second
 	// workTime is how long a plain service works on a request.
 	workTime = 60 * time.Millisecond
 	// crashAfter is when the targets crash, crashedFor how long they are down.
@@ -31,13 +30,14 @@
 
 	mu             sync.Mutex // guards all below
 	sent, answered map[string]int
-	refused        platformtest.Response
+	// refused is the last response that was no success.
+	refused platformtest.Response
 }
 
-// playPolls lets two tenants look up records of a plain service. All clients of beta ask for the same record, those of alpha each for
-// another one. All targets of the service crash at the same moment and are back after some seconds.
+// playPolls lets two tenants look up records of a plain service, the clients of each the same record again and again. All targets of the
+// service crash at the same moment and are back after some seconds.
 func playPolls(rec *record, trouble bool) (bool, error) {
-	f, err := newFleet(rec, 3, 3, 1, []tenant{{"alpha", 2_000_000}, {"beta", 2_000_000}})
+	f, err := newFleet(rec, 3, 3, 1, []tenant{{"alpha", 500_000}, {"beta", 500_000}})
 	if err != nil {
 		return false, err
 	}
@@ -54,10 +54,11 @@
 		f: f, client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, sent: make(map[string]int), answered: make(map[string]int),
 	}
 	var clients sync.WaitGroup
-	clients.Go(func() { p.poll(f.tenants[0], alphaInterval) })
-	clients.Go(func() { p.poll(f.tenants[1], betaInterval) })
+	for _, t := range f.tenants {
+		clients.Go(func() { p.poll(t) })
+	}
+	time.Sleep(crashAfter)
 	if trouble {
-		time.Sleep(crashAfter)
 		f.crashDesks()
 	}
 	clients.Wait()
@@ -65,24 +66,19 @@
 }
 
 // poll sends a tenant's requests for pollTime.
-func (p *polls) poll(t tenant, interval time.Duration) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+func (p *polls) poll(t tenant) {
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	began := time.Now()
 	for n := 0; time.Since(began) < pollTime; n++ {
-		<-ticker.C
+		time.Sleep(time.Duration(rand.ExpFloat64() * float64(pollInterval)))
 		requests.Go(func() { p.send(t, n) })
 	}
 }
 
 func (p *polls) send(t tenant, n int) {
 	g := p.f.gateways[n%len(p.f.gateways)]
-	id, path := fmt.Sprintf("%s-%06d", t.name, n), "/checks/board"
-	if t.name == "alpha" {
-		path = fmt.Sprintf("/checks/%d", n)
-	}
+	id, path := fmt.Sprintf("%s-%06d", t.name, n), "/checks/"+t.name
 	o := observation{at: time.Now(), id: id, tenant: t.name, gateway: g.name, tries: 1}
 	o.response = platformtest.Send(context.Background(), &p.client, g.caller, platformtest.Request{ID: id, Key: t.key(), Path: path, Timeout: pollTimeout})
 	p.f.rec.request(o)
@@ -92,19 +88,26 @@
 	switch r := o.response; {
 	case r.Status == http.StatusOK && r.Signed && r.Ended:
 		p.answered[t.name]++
-	case t.name == "beta":
+	case r.Status != 0:
 		p.refused = r
 	}
 }
 
-// judge reports whether beta's requests were served less than a quarter as often as all.
-func (p *polls) judge() bool {
+// judge reports whether the requests of a tenant were served less than a quarter as often as all, or less than a quarter of all were.
+func (p *polls) judge() (isBroken bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all, allSent := p.answered["alpha"]+p.answered["beta"], p.sent["alpha"]+p.sent["beta"]
-	p.f.rec.event("served: alpha %d of %d, beta %d of %d, all %d of %d", p.answered["alpha"], p.sent["alpha"], p.answered["beta"], p.sent["beta"], all, allSent)
-	p.f.rec.event("beta's last failure: status %d, Retry-After %q, %q", p.refused.Status, p.refused.RetryAfter, p.refused.Body)
-	return 4*p.answered["beta"]*allSent < all*p.sent["beta"]
+	all, allSent := 0, 0
+	for _, t := range p.f.tenants {
+		all, allSent = all+p.answered[t.name], allSent+p.sent[t.name]
+	}
+	for _, t := range p.f.tenants {
+		p.f.rec.event("%s: %d of %d requests were served", t.name, p.answered[t.name], p.sent[t.name])
+		isBroken = isBroken || 4*p.answered[t.name]*allSent < all*p.sent[t.name]
+	}
+	p.f.rec.event("served: %d of %d", all, allSent)
+	p.f.rec.event("the last failure: status %d, Retry-After %q, %q", p.refused.Status, p.refused.RetryAfter, p.refused.Body)
+	return isBroken || 4*all < allSent
 }
 
 // crashDesks lets all targets of the plain service crash at once and start again after a while.
