--- a/review/fleetplay/fleet.go
+++ b/review/fleetplay/fleet.go
@@ -96,6 +96,10 @@
 		"routes": []object{{
 			"name": "checks", "hostname": "api.example", "prefix": "/checks/", "route-type": "idempotent", "timeout-ms": 1500,
 			"target-latency-ms": 300, "priority": 2, "service": "desk", "max-attempts": 2,
+		}, {
+			"name": "reviews", "hostname": "api.example", "prefix": "/reviews/", "route-type": "streaming", "timeout-ms": 5000,
+			"target-latency-ms": 600, "priority": 1, "service": "llm", "max-attempts": 1, "session-affinity": true, "stream-resume": false,
+			"gap-target-ms": 300,
 		}, {
 			"name": "notes", "hostname": "api.example", "prefix": "/notes/", "route-type": "streaming", "timeout-ms": 5000,
 			"target-latency-ms": 400, "priority": 0, "service": "llm", "max-attempts": 2, "session-affinity": true, "stream-resume": true,
--- a/review/fleetplay/main.go
+++ b/review/fleetplay/main.go
@@ -26,6 +26,7 @@
 type play func(rec *record, trouble bool) (isBroken bool, err error)
 
 var plays = map[string]play{
+	"odd":      playOdd,
 	"polls":    playPolls,
 	"replace":  playReplace,
 	"restarts": playRestarts,
--- /dev/null
+++ b/review/fleetplay/odd.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// crashText is in the body of the request that crashes engines, crashingSends how often it comes, crashingInterval the time between.
+	crashText        = "crashes engines"
+	crashingSends    = 6
+	crashingInterval = 2 * time.Second
+	// oddModel is the name of a model with a byte that is no UTF-8.
+	oddModel = "m\xff"
+)
+
+// playOdd lets a client send a request that crashes the engines that run it, again and again, at all gateways in turn. Its header X-Model
+// has an odd byte, or is an ordinary one if there is to be no trouble. There are two hosts with targets, so two companions.
+func playOdd(rec *record, trouble bool) (bool, error) {
+	f, err := newFleet(rec, 3, 2, 2, []tenant{{"alpha", 500_000}, {"beta", 500_000}})
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	if err := f.start(); err != nil {
+		return false, err
+	}
+	l := newLoad(f, 50*time.Millisecond)
+	began := time.Now()
+	l.start()
+	time.Sleep(10 * time.Second)
+	fault := time.Now()
+	model := "m"
+	if trouble {
+		model = oddModel
+	}
+	for _, e := range f.engines {
+		e.CrashOn(crashText)
+	}
+	for n := range crashingSends {
+		f.sendCrashing(n, model)
+		time.Sleep(crashingInterval)
+	}
+	back := time.Now()
+	time.Sleep(recoveryTime + 35*time.Second)
+	end := time.Now()
+	l.stop()
+	return f.judgeRecovery(l, began, fault, back, end), nil
+}
+
+// sendCrashing sends the request that crashes engines: the same each time but for its ID.
+func (f *fleet) sendCrashing(n int, model string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	g := f.gateways[n%len(f.gateways)]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.caller+"/reviews/1", strings.NewReader(crashText))
+	if err != nil {
+		f.rec.event("request that crashes engines: %v", err)
+		return
+	}
+	req.Host = "api.example"
+	for name, value := range map[string]string{
+		"X-Attempt-Id": fmt.Sprintf("crashing-%d", n), "Authorization": "Bearer " + f.tenants[0].key(), "X-Deadline-Ms": "3000", "X-Model": model,
+		"X-Token-Count": fmt.Sprintf("%d,%d", promptTokens, outputTokens), "X-Prefix-Hash": "a1:20,b2:20,c3:20",
+	} {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.rec.event("request %s with the model %q at %s: %v", req.Header.Get("X-Attempt-Id"), model, g.name, err)
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	f.rec.event("request %s with the model %q at %s: status %d, %.80q, %v", req.Header.Get("X-Attempt-Id"), model, g.name, resp.StatusCode, body, err)
+}
