elector: an earlier set of recorders without voters asks for no record

Seen by callers: nothing is drawn for 20 s after a router that was alone, or for a moment knew no other member that runs, has found the first one ("budget held elsewhere" once its tokens are used up).

Cause: WriteQuorum asks in an earlier set for as many voters as overlap with a quorum that may still be read: left - read + 1. Without voters that is 0 - 0 + 1 = 1, which nobody can confirm, until the set is older than the window.

Evidence: members.txt, "an earlier set of no members asks for no record", failed before: "a1 write 1 ; nobody write 1".

Why this is safe: recorder.Fetch never takes a set without members for complete.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -278,7 +278,7 @@
 // that may still be read; none if too many have ended.
 func (s Set) WriteQuorum(ended func(Voter) bool) int {
 	q := recorder.NewQuorum(len(s.Voters))
-	if s.Current {
+	if s.Current || len(s.Voters) == 0 { // a set without voters makes no count complete
 		return q.Write
 	}
 	left := 0
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -47,6 +47,9 @@
 		}
 		out = append(out, name)
 	}
+	if len(out) == 0 {
+		return "nobody"
+	}
 	slices.Sort(out)
 	return strings.Join(out, " ")
 }
