gateway: gateways leave the fleet, and those that can't be reached are declared gone

Cause: a gateway that stops wrote no row that it has left, and declareGone passed over members that are no companions. So each gateway that ever ran stayed "running" in the table of processes. With fewer than three companions gateways record draws too; elector.elect chose those that were gone, Set.WriteQuorum of the current set counts all voters, and once they were the majority no draw could be recorded. With three companions or more only companions are elected, which hid it.

What changed: - A gateway that stops closes its recorder once it serves nothing any more and writes that it has left. - One that can't be reached for 12 s (4 s if its host refuses connections) is declared gone by those whose draws it should record, or by the one router that watches it. Two routers that can't reach each other but the store wait twice and four times as long the next times. - One that was declared gone and runs sees it in the members' feed, forgets its records, counts as new among the sharers of budgets, and enrolls again. - A process that leaves late doesn't replace its successor's row.

Why it can't overspend: no tokens are taken from a router that is gone. Its row is kept, so it is counted after each copy as before; it only isn't elected, linked or waited for. Recorders that are gone keep their part in the joint quorums of the last 20 s, as companions did; that needs links to them, which updateLinks keeps.

--- a/internal/process/companion/companion.go
+++ b/internal/process/companion/companion.go
@@ -63,6 +63,9 @@
 	memberEnroller := &enroller.Enroller{Store: c.Store, Key: c.Key, Self: enroller.Member{
 		Name: c.Name, Incarnation: c.Incarnation, Kind: enroller.Companion, Address: c.Listener.Addr().String(),
 		Domain: c.Domain,
+	}, OnGone: func() {
+		records.Reset() // routers have recorded draws elsewhere meanwhile
+		logger.MemberRejoins.Log(c.Log, "host", c.Name)
 	}}
 	var membership sync.WaitGroup
 	membership.Go(func() {
@@ -70,10 +73,7 @@
 			return
 		}
 		logger.MemberEnrolled.Log(c.Log, "host", c.Name, "address", c.Listener.Addr().String())
-		memberEnroller.Keep(ctx, func() {
-			records.Reset() // routers have recorded draws elsewhere meanwhile
-			logger.MemberRejoins.Log(c.Log, "host", c.Name)
-		})
+		memberEnroller.Keep(ctx)
 	})
 	select {
 	case err := <-failed:
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -2,7 +2,8 @@
 // router's draws. It is a pure decision over plain data: the caller passes rows and times.
 //
 // A member joins when it writes its row, and it ends when it says so itself (left) or when
-// others have not reached it for long (gone). Sets of recorders follow: they are chosen from the
+// others have not reached it for long (gone). A router that is gone may still run and hold tokens, so it
+// stays known until it starts or leaves. Sets of recorders follow: they are chosen from the
 // members that run. Their quorums overlap over a change of the set because draws are recorded in
 // the new set and in each earlier one of a window as joint quorums, as in the joint consensus of Raft
 // (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", section 6). An
@@ -113,9 +114,13 @@
 	return true
 }
 
+func (h *history) newest() *life {
+	return &h.lives[len(h.lives)-1]
+}
+
 // end ends the newest life unless it has ended. certainly tells that the process has ended.
 func (h *history) end(now time.Time, certainly bool) {
-	l := &h.lives[len(h.lives)-1]
+	l := h.newest()
 	if l.to.IsZero() {
 		l.to = now
 	}
@@ -153,10 +158,12 @@
 	return running
 }
 
-// Expired returns the members whose rows are to be deleted: they ended before KeepFor.
+// Expired returns the members whose rows are to be deleted: they ended before KeepFor. Routers that are gone
+// keep their rows: they are counted after the store has come back from a copy.
 func (e *Elector) Expired(now time.Time) (expired []enroller.Member) {
 	for _, h := range e.members {
-		if last := h.lives[len(h.lives)-1]; h.member.State != enroller.Running && now.Sub(last.to) >= KeepFor {
+		keeps := h.member.Kind == enroller.Router && h.member.State == enroller.Gone
+		if h.member.State != enroller.Running && !keeps && now.Sub(h.newest().to) >= KeepFor {
 			expired = append(expired, h.member)
 		}
 	}
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -113,12 +113,15 @@
 
 // TestQuorumsOverlap changes the members at random while a router records draws, and compares the newest
 // draw with what a reader finds that knows the members of up to the oldest copy. It guards against
-// sets of recorders that have no member in common: the draw would be taken for one never made.
+// sets of recorders that have no member in common: the draw would be taken for one never made. Members that were
+// declared gone may still run, and join again without their records.
 func TestQuorumsOverlap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const maxMembers = 9
+		companions := rapid.IntRange(0, maxMembers).Draw(t, "companions") // the others are routers
 		type process struct {
 			incarnation int
+			joins       int
 			running     bool
 			startedAt   float64
 			draw        int // the newest draw recorded by the running process
@@ -126,9 +129,13 @@
 		processes := make([]process, maxMembers)
 		row := func(i int, state enroller.State) enroller.Member {
 			p := processes[i]
-			return enroller.Member{
-				Name: fmt.Sprint("c", i), Incarnation: fmt.Sprint("c", i, "@", p.incarnation), Kind: enroller.Companion, Domain: fmt.Sprint(i % 3), State: state,
+			m := enroller.Member{
+				Name: fmt.Sprint("c", i), Incarnation: fmt.Sprint("c", i, "@", p.incarnation), Domain: fmt.Sprint(i % 3), State: state, Joins: p.joins,
 			}
+			if i < companions {
+				m.Kind = enroller.Companion
+			}
+			return m
 		}
 		now := 0.0
 		writer := &elector.Elector{StartedAt: at(0)}
@@ -158,7 +165,7 @@
 			copies = append(copies, saved)
 			i := rapid.IntRange(0, maxMembers-1).Draw(t, "member")
 			p := &processes[i]
-			switch rapid.SampledFrom([]string{"draw", "draw", "draw", "left", "killed", "start", "gone"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"draw", "draw", "draw", "left", "killed", "start", "gone", "rejoin"}).Draw(t, "step") {
 			case "left":
 				if p.running {
 					p.running = false
@@ -170,6 +177,11 @@
 				if m, ok := rows[i]; ok && m.State == enroller.Running { // also if it still runs: others can't reach it
 					set(i, enroller.Gone)
 				}
+			case "rejoin":
+				if m := rows[i]; p.running && m.State == enroller.Gone {
+					p.joins, p.draw, p.startedAt = p.joins+1, 0, now
+					set(i, enroller.Running)
+				}
 			case "start":
 				if !p.running {
 					*p = process{incarnation: p.incarnation + 1, running: true, startedAt: now}
--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -3,9 +3,9 @@
 //
 // # Usage
 //
-//	e := &enroller.Enroller{Store: store, Key: key, Self: enroller.Member{Name: "router-1", Kind: enroller.Router, ...}}
+//	e := &enroller.Enroller{Store: store, Key: key, Self: enroller.Member{Name: "router-1", Kind: enroller.Router, ...}, OnGone: reset}
 //	err := e.Run(ctx)
-//	go e.Keep(ctx, reset)
+//	go e.Keep(ctx)
 //	...
 //	err = e.Leave(ctx)
 //	member, err := enroller.Decode(row)
@@ -79,6 +79,9 @@
 	Store storer.Committer
 	Key   string
 	Self  Member
+	// OnGone is called when others have declared this process gone, before it enrolls again; nil does
+	// nothing.
+	OnGone func()
 
 	// version is the row's version as of era.
 	version uint64
@@ -97,8 +100,8 @@
 
 // Run writes the row, retrying until it succeeds or ctx ends.
 func (e *Enroller) Run(ctx context.Context) error {
-	value := Encode(e.Self)
 	for ctx.Err() == nil {
+		value := Encode(e.Self)
 		c := storer.Commit{Era: e.era}
 		c.Update(e.Key, e.version, value)
 		receipt, err := e.Store.CommitWithReceipt(ctx, c)
@@ -108,7 +111,8 @@
 			e.version, e.era = receipt.Version, receipt.Era
 			return nil
 		case errors.As(err, &conflict):
-			if row := e.adopt(conflict); string(row.Value) == string(value) {
+			row := e.adopt(conflict)
+			if string(row.Value) == string(value) || e.succeeded(row) {
 				return nil
 			}
 		case errors.Is(err, storer.ErrEraChanged):
@@ -120,18 +124,34 @@
 	return ctx.Err()
 }
 
-// adopt takes over the version of the row that a conflict returned, and returns the row.
+// adopt takes over the version of the row that a conflict returned, and returns the row. If the row
+// tells that this process is gone, the process joins again.
 func (e *Enroller) adopt(conflict *storer.ConflictError) (row storer.Row) {
 	if len(conflict.Rows) > 0 {
 		row = conflict.Rows[0]
 	}
+	m, err := Decode(row)
+	gone := err == nil && m.Incarnation == e.Self.Incarnation && m.State == Gone && m.Joins >= e.Self.Joins
+	if gone && e.Self.State == Running {
+		e.Self.Joins = m.Joins + 1
+		if e.OnGone != nil {
+			e.OnGone()
+		}
+	}
 	e.version, e.era = row.Version, conflict.Era
 	return row
 }
 
-// Keep reads the row now and then until ctx ends. If others have declared the process gone, it
-// calls rejoin and enrolls again. It must not run beside Run or Leave.
-func (e *Enroller) Keep(ctx context.Context, rejoin func()) {
+// succeeded reports whether a later process of the same name has written the row that this one would
+// replace when it leaves.
+func (e *Enroller) succeeded(row storer.Row) bool {
+	m, err := Decode(row)
+	return e.Self.State == Left && err == nil && m.Incarnation != e.Self.Incarnation
+}
+
+// Keep reads the row now and then until ctx ends, and enrolls again if others have declared the
+// process gone. It must not run beside Run or Leave.
+func (e *Enroller) Keep(ctx context.Context) {
 	for {
 		pauser.Pause(ctx, checkInterval)
 		if ctx.Err() != nil {
@@ -147,10 +167,6 @@
 		if string(row.Value) == string(Encode(e.Self)) {
 			continue
 		}
-		if row.Value != nil { // a row that is missing is lost with a copy of the store
-			rejoin()
-			e.Self.Joins++
-		}
 		if e.Run(ctx) != nil {
 			return
 		}
--- a/internal/process/enroller/enroller_test.go
+++ b/internal/process/enroller/enroller_test.go
@@ -33,14 +33,14 @@
 		const key, within = "processes//a", 61 * time.Second
 		store := storer.NewMemory()
 		self := enroller.Member{Name: "a", Incarnation: "a@1", Kind: enroller.Companion, Address: "127.0.0.1:1", Domain: "d"}
-		e := &enroller.Enroller{Store: store, Key: key, Self: self}
-		assert.NilError(t, e.Run(t.Context()))
 		rejoins := 0
+		e := &enroller.Enroller{Store: store, Key: key, Self: self, OnGone: func() { rejoins++ }}
+		assert.NilError(t, e.Run(t.Context()))
 		ctx, cancel := context.WithCancel(t.Context())
 		kept := make(chan struct{})
 		go func() {
 			defer close(kept)
-			e.Keep(ctx, func() { rejoins++ })
+			e.Keep(ctx)
 		}()
 
 		assert.NilError(t, enroller.Declare(t.Context(), store, key, self, enroller.Gone))
@@ -75,3 +75,18 @@
 		assert.Equal(t, m.State, enroller.Left)
 	})
 }
+
+// TestLeavingAfterTheSuccessorHasStarted lets a process leave late, when the next one of its name has enrolled. It guards
+// against a successor that nobody reckons with.
+func TestLeavingAfterTheSuccessorHasStarted(t *testing.T) {
+	const key = "processes//a"
+	store := storer.NewMemory()
+	earlier := &enroller.Enroller{Store: store, Key: key, Self: enroller.Member{Name: "a", Incarnation: "a@1"}}
+	assert.NilError(t, earlier.Run(t.Context()))
+	later := &enroller.Enroller{Store: store, Key: key, Self: enroller.Member{Name: "a", Incarnation: "a@2"}}
+	assert.NilError(t, later.Run(t.Context()))
+	assert.NilError(t, earlier.Leave(t.Context()))
+	m, _ := read(t, store, key)
+	assert.Equal(t, m.Incarnation, "a@2")
+	assert.Equal(t, m.State, enroller.Running)
+}
--- a/internal/process/gateway/eras.go
+++ b/internal/process/gateway/eras.go
@@ -35,10 +35,7 @@
 	}
 	logger.StoreWentBack.Log(g.Log, "router", g.Name, "era", era, "previous", previous)
 	g.archiver.Forget()
-	select {
-	case g.enrollAgain <- struct{}{}:
-	default:
-	}
+	g.requestEnrolment()
 }
 
 // maxRestoredRows is how many rows one commit may write: the platform allows 100 entries in a
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -185,6 +185,7 @@
 	reconciler  *reconciler.Reconciler
 	recorder    *recorder.Recorder
 	enrollAgain chan struct{}
+	enroller    *enroller.Enroller
 	// era is the store's newest era known.
 	era atomic.Uint64
 	// unrecordedSince is when draws could no longer be recorded, nil while they can be.
@@ -245,7 +246,7 @@
 		Store: &relayer.Store{Direct: g.Store, Links: g.peers.links, WideLinks: g.peers.companionLinks, OnLost: g.onDirectLost, OnRestored: g.onDirectRestored},
 		OnEra: g.onEra, OnStale: g.onStaleReply,
 	}
-	g.recorder, g.enrollAgain = recorder.New(time.Now), make(chan struct{}, 1)
+	g.recorder, g.enrollAgain, g.enroller = recorder.New(time.Now), make(chan struct{}, 1), g.newEnroller()
 	g.archiver = g.newArchiver()
 	g.relayServer = &relayer.Server{Store: g.Store}
 	g.retries = &retrier.Budget{Limits: func() retrier.Limits { return g.limits.Load().Retries }}
@@ -279,6 +280,8 @@
 	defer g.endRunning()
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
+	enrollCtx, stopEnrolling := context.WithCancel(workCtx)
+	defer stopEnrolling()
 	g.workers.Go(func() { g.followConfiguration(workCtx) })
 	g.workers.Go(func() { g.followTargets(workCtx) })
 	g.workers.Go(func() { g.followMembers(workCtx) })
@@ -289,7 +292,8 @@
 	g.workers.Go(func() { g.watchLag(workCtx) })
 	g.workers.Go(func() { g.watchRotation(workCtx) })
 	g.workers.Go(func() { g.fetchFromPeers(workCtx) })
-	g.workers.Go(func() { g.enroll(workCtx) })
+	var enrolling sync.WaitGroup
+	enrolling.Go(func() { g.enroll(enrollCtx) })
 	g.workers.Go(func() { g.reconciler.Run(workCtx) })
 	g.workers.Go(func() { g.heartbeats.Run(workCtx) })
 	allocatorCtx, stopAllocator := context.WithCancel(workCtx)
@@ -326,6 +330,9 @@
 	case <-ctx.Done():
 	}
 	g.shutdown(stopAllocator)
+	stopEnrolling()
+	enrolling.Wait()
+	g.leave()
 	stopWork()
 	g.workers.Wait()
 	_ = readyServer.Close()
@@ -384,6 +391,8 @@
 	exitTime        = 300 * time.Millisecond
 	// answerTime is the part of tokenReturnTime in which requests that are ended get their answers.
 	answerTime = 300 * time.Millisecond
+	// leaveTime is the part of exitTime in which the fleet is told.
+	leaveTime = 200 * time.Millisecond
 )
 
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
@@ -421,14 +430,23 @@
 	logger.HoldingsRebased.Log(g.Log, "era", era, "rows", accounts, "tokens", drawn)
 }
 
-// enroll writes the gateway's row to the members table, where the fleet's other
-// processes find it, and writes it again after the store has come back from a copy.
-func (g *Gateway) enroll(ctx context.Context) {
-	e := &enroller.Enroller{Store: g.store, Key: g.Schema.RowKey(membersTable, "", g.Name), Self: enroller.Member{
+// newEnroller returns the enroller of the gateway's row in the members table.
+func (g *Gateway) newEnroller() *enroller.Enroller {
+	return &enroller.Enroller{Store: g.store, Key: g.Schema.RowKey(membersTable, "", g.Name), Self: enroller.Member{
 		Name: g.Name, Incarnation: g.Incarnation, Kind: enroller.Router, Address: g.FleetListener.Addr().String(),
 		Domain: g.Domain,
+	}, OnGone: func() {
+		g.enrolledAt.Store(nil)
+		g.recorder.Reset() // routers have recorded draws elsewhere meanwhile
+		logger.MemberRejoins.Log(g.Log, "host", g.Name)
 	}}
-	for e.Run(ctx) == nil {
+}
+
+// enroll writes the gateway's row to the members table, where the fleet's other
+// processes find it, and writes it again after the store has come back from a copy, or others have declared
+// the gateway gone.
+func (g *Gateway) enroll(ctx context.Context) {
+	for g.enroller.Run(ctx) == nil {
 		now := time.Now()
 		g.enrolledAt.CompareAndSwap(nil, &now)
 		logger.MemberEnrolled.Log(g.Log, "host", g.Name, "address", g.FleetListener.Addr().String())
@@ -440,6 +458,24 @@
 	}
 }
 
+// requestEnrolment has the gateway's row written again.
+func (g *Gateway) requestEnrolment() {
+	select {
+	case g.enrollAgain <- struct{}{}:
+	default:
+	}
+}
+
+// leave tells the fleet that the gateway has ended. It serves nothing any more: no client, and no record
+// of a draw.
+func (g *Gateway) leave() {
+	g.recorder.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	err := g.enroller.Leave(ctx)
+	logger.MemberLeaves.Log(g.Log, "host", g.Name, "error", err) // without the row, others find out that it is gone
+}
+
 // budgetKey returns the key of an organisation's budget row. Budgets are spread over
 // parts because the platform commits each part independently.
 func (g *Gateway) budgetKey(organisation string) string {
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -170,6 +170,13 @@
 	delete(p.rotations, name)
 }
 
+// running returns the members that run, as far as known.
+func (p *peerLinks) running() []enroller.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Running()
+}
+
 // membership returns what this router knows of the routers that share the fleet's budgets.
 func (g *Gateway) membership() sharer.Membership {
 	m := sharer.Membership{Self: sharer.Hash(g.Name)}
@@ -281,6 +288,10 @@
 	}
 	g.rowCache.put(g.rowCache.members, row)
 	g.peers.add(m)
+	if m.Incarnation == g.Incarnation && m.State == enroller.Gone {
+		g.enrolledAt.Store(nil) // others don't count this process any more
+		g.requestEnrolment()
+	}
 }
 
 // updateLinks sets the links to all other routers, to some companions, and to those that record or
@@ -299,18 +310,22 @@
 		}
 	}
 	g.peers.mu.Unlock()
-	g.peers.routers.SetMembers(ctx, routers)
 	linked := make(map[string]string)
 	for _, m := range elector.Choose(g.Name, companions, maxCompanions) {
 		linked[m.Name] = m.Address
 	}
 	for _, set := range recorders {
 		for _, v := range set.Voters {
-			if v.Member.Kind == enroller.Companion && !v.Ended {
+			switch {
+			case v.Ended:
+			case v.Member.Kind == enroller.Companion:
 				linked[v.Member.Name] = v.Member.Address
+			default:
+				routers[v.Member.Name] = v.Member.Address
 			}
 		}
 	}
+	g.peers.routers.SetMembers(ctx, routers)
 	g.peers.companions.SetMembers(ctx, linked)
 }
 
--- a/internal/process/gateway/recorders.go
+++ b/internal/process/gateway/recorders.go
@@ -27,6 +27,8 @@
 	// cutOffFactor is the multiple of goneAfter for a router that reaches no process at all: it may
 	// itself be cut off.
 	cutOffFactor = 3
+	// maxRejoinSteps bounds how often the time doubles until a router counts as gone again that has come back.
+	maxRejoinSteps = 2
 	// recordsMargin is added to the age of the records to fetch, for changes of the members that
 	// others have seen later.
 	recordsMargin = 5 * time.Second
@@ -157,32 +159,32 @@
 	return p.routers
 }
 
-// tendMembers declares companions gone that should record this router's draws and can't be reached,
-// and deletes the rows of members that have ended long ago, until ctx ends.
+// tendMembers keeps the members table true until ctx ends: it declares members gone that can't be reached, and
+// deletes the rows of those that have ended long ago.
 func (g *Gateway) tendMembers(ctx context.Context) {
 	for ctx.Err() == nil {
 		pauser.Pause(ctx, tendInterval)
 		now := time.Now()
-		if len(g.peers.ownRecorders(g.Name)) == 0 {
-			continue
-		}
 		g.updateLinks(ctx)
 		g.declareGone(ctx)
 		g.deleteExpired(ctx, now)
 	}
 }
 
-// declareGone declares the companions gone that are elected to record this router's draws and have not
-// been reached for long.
+// declareGone declares members gone that have not been reached for long: those that are elected to record this
+// router's draws, and routers, each of which one of the others watches.
 func (g *Gateway) declareGone(ctx context.Context) {
 	limit := goneAfter
 	if g.peers.companions.LiveCount()+g.peers.routers.LiveCount() == 0 {
 		limit *= cutOffFactor
 	}
+	var recorders []string
 	for _, v := range g.peers.ownRecorders(g.Name)[0].Voters {
-		m := v.Member
-		since, refused := g.peers.companions.Unreached(m.Name)
-		if m.Kind != enroller.Companion || since < refusedAfter || (since < limit && !refused) {
+		recorders = append(recorders, v.Member.Name)
+	}
+	for _, m := range g.peers.running() {
+		since, refused := g.peers.connectorOf(m).Unreached(m.Name)
+		if !isGone(m, since, refused, limit) || !(slices.Contains(recorders, m.Name) || (m.Kind == enroller.Router && g.tends(m))) {
 			continue
 		}
 		if err := enroller.Declare(ctx, g.store, g.Schema.RowKey(membersTable, "", m.Name), m, enroller.Gone); err != nil {
@@ -192,19 +194,34 @@
 	}
 }
 
-// deleteExpired deletes the rows of members that have ended long ago. Of the routers that are linked, one
-// does so for each member.
+// isGone reports whether a member counts as gone that could not be reached for a time; limit is the one for a
+// member that never was gone. A router that has come back from that was out of this one's reach only, and
+// gets more time.
+func isGone(m enroller.Member, unreachedFor time.Duration, refused bool, limit time.Duration) bool {
+	if m.Kind == enroller.Router {
+		limit <<= min(m.Joins, maxRejoinSteps)
+	}
+	return unreachedFor >= limit || (refused && unreachedFor >= refusedAfter)
+}
+
+// tends reports whether this router keeps a member's row: of the routers that are linked, one does so for each
+// member.
+func (g *Gateway) tends(m enroller.Member) bool {
+	routers := []enroller.Member{{Name: g.Name}}
+	for _, name := range g.peers.routers.Live() {
+		routers = append(routers, enroller.Member{Name: name})
+	}
+	return elector.Choose(m.Name, routers, 1)[0].Name == g.Name
+}
+
+// deleteExpired deletes the rows of members that have ended long ago.
 func (g *Gateway) deleteExpired(ctx context.Context, now time.Time) {
 	g.peers.mu.Lock()
 	expired := g.peers.members.Expired(now)
 	g.peers.mu.Unlock()
 	for _, m := range expired {
-		routers := []enroller.Member{{Name: g.Name}}
-		for _, name := range g.peers.routers.Live() {
-			routers = append(routers, enroller.Member{Name: name})
-		}
 		key := g.Schema.RowKey(membersTable, "", m.Name)
-		if elector.Choose(m.Name, routers, 1)[0].Name != g.Name || enroller.Delete(ctx, g.store, key, m) != nil {
+		if !g.tends(m) || enroller.Delete(ctx, g.store, key, m) != nil {
 			continue // tried again, here or elsewhere
 		}
 		g.peers.remove(m.Name)
