gateway: routers that have ended no longer share the fleet's budgets

Seen by callers: fleets that have replaced many gateways use ever less of a target's limit, of the slack of retries and of what cold targets take, and send heartbeats and try causes of crashes again ever more rarely.

Cause: peerLinks.routerHashes held the names of all routers that had ever enrolled; nothing took one out, and none said that it had left.

Why the sums hold: sharer.Membership gives a part to a router only if all others that have one count it. One that has left sends nothing; its last requests count for a window. One that is gone may run: it loses its part when it reads its row, or when it has not read the list for a window, and its last requests count for a window after that. So it stays counted for two windows, and when it enrolls again it has no part until all have counted it.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -170,6 +170,24 @@
 	return expired
 }
 
+// Routers returns the names of the routers that run, and of those that have left after a time or were declared
+// gone after another.
+func (e *Elector) Routers(leftAfter, goneAfter time.Time) (names []string) {
+	for name, h := range e.members {
+		if h.member.Kind != enroller.Router {
+			continue
+		}
+		after := goneAfter
+		if h.newest().ended {
+			after = leftAfter
+		}
+		if h.member.State == enroller.Running || h.newest().to.After(after) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Voter is a member of a Set.
 type Voter struct {
 	Member enroller.Member
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -54,8 +54,14 @@
 	return strings.Join(out, " ")
 }
 
+// leftWindow and goneWindow are the seconds for which a router counts that has left, or was declared gone.
+const (
+	leftWindow = 10
+	goneWindow = 20
+)
+
 // TestMembership plays testdata/members.txt. It guards against members that have left for good and are
-// elected, and against rows of an older copy that bring them back.
+// elected or share the fleet's budgets, and against rows of an older copy that bring them back.
 func TestMembership(t *testing.T) {
 	file, err := os.Open("testdata/members.txt")
 	assert.NilError(t, err)
@@ -98,6 +104,10 @@
 			}
 			slices.Sort(all)
 			assert.Equal(t, strings.Join(all, " "), strings.Join(words[1:], " "), "line %d", line)
+		case "routers":
+			all := e.Routers(at(now-leftWindow), at(now-goneWindow))
+			slices.Sort(all)
+			assert.Equal(t, strings.Join(all, " "), strings.Join(words[1:], " "), "line %d", line)
 		case "sets": // sets of router r: MEMBERS write N, separated by ;
 			var got []string
 			for _, s := range e.Sets("r", at(now).Add(-elector.Window)) {
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -58,8 +58,10 @@
 	silentSince map[string]time.Time
 	// rotations holds the newest report of each linked router on its load.
 	rotations map[string]rotator.Peer
-	// routerHashes holds the hashes of the names of all routers that have ever enrolled.
+	// routerHashes holds the hashes of the names of the routers that share the fleet's budgets.
 	routerHashes atomic.Pointer[[]uint64]
+	// endedWindow returns the time for which requests of a router count that has ended.
+	endedWindow func() time.Duration
 	// pushing holds the names of routers with a push under way.
 	pushing sync.Map
 }
@@ -71,8 +73,9 @@
 		logger.PeerLinked.Log(g.Log, "peer", name, "incarnation", link.Peer.Incarnation)
 	}
 	return &peerLinks{
-		self:    g.Name,
-		members: &elector.Elector{StartedAt: time.Now()}, silentSince: make(map[string]time.Time), rotations: make(map[string]rotator.Peer),
+		self:        g.Name,
+		endedWindow: func() time.Duration { return max(g.limits.Load().Retries.Window, memberFreshTime) },
+		members:     &elector.Elector{StartedAt: time.Now()}, silentSince: make(map[string]time.Time), rotations: make(map[string]rotator.Peer),
 		routers: &connector.Connector{
 			Self: self, Secret: g.Secret, Interval: reportInterval, BytesPerSecond: reportBytesPerSecond, Heartbeat: g.exchangeReports,
 			OnUp: up,
@@ -134,8 +137,8 @@
 	return ok
 }
 
-// routerCount returns the number of routers that have ever enrolled, as far as this one
-// knows. It doesn't fall while routers can't reach each other.
+// routerCount returns the number of routers that share the fleet's budgets, as far as this one
+// knows.
 func (p *peerLinks) routerCount() float64 {
 	n := 1
 	if routers := p.routerHashes.Load(); routers != nil {
@@ -148,18 +151,9 @@
 func (p *peerLinks) add(m enroller.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.members.Apply(m, time.Now()) || m.Kind != enroller.Router {
-		return
-	}
-	hash := sharer.Hash(m.Name)
-	routers := []uint64{hash}
-	if earlier := p.routerHashes.Load(); earlier != nil {
-		if slices.Contains(*earlier, hash) {
-			return
-		}
-		routers = append(routers, *earlier...)
+	if p.members.Apply(m, time.Now()) && m.Kind == enroller.Router {
+		p.countRouters(time.Now())
 	}
-	p.routerHashes.Store(&routers)
 }
 
 // remove removes a member that has ended.
@@ -168,6 +162,26 @@
 	defer p.mu.Unlock()
 	p.members.Remove(name)
 	delete(p.rotations, name)
+	p.countRouters(time.Now())
+}
+
+// countRouters sets the routers that share the fleet's budgets; p.mu must be held. A router that has left shares
+// them until the window of its last requests is over. One that is gone may use its part until it knows that, or
+// doesn't know the members for a window.
+func (p *peerLinks) countRouters(now time.Time) {
+	window := p.endedWindow()
+	var routers []uint64
+	for _, name := range p.members.Routers(now.Add(-window), now.Add(-2*window)) {
+		routers = append(routers, sharer.Hash(name))
+	}
+	p.routerHashes.Store(&routers)
+}
+
+// recountRouters sets the routers that share the fleet's budgets at a time.
+func (p *peerLinks) recountRouters(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.countRouters(now)
 }
 
 // running returns the members that run, as far as known.
--- a/internal/process/gateway/recorders.go
+++ b/internal/process/gateway/recorders.go
@@ -165,6 +165,7 @@
 	for ctx.Err() == nil {
 		pauser.Pause(ctx, tendInterval)
 		now := time.Now()
+		g.peers.recountRouters(now)
 		g.updateLinks(ctx)
 		g.declareGone(ctx)
 		g.deleteExpired(ctx, now)
--- a/internal/process/gateway/rotation_test.go
+++ b/internal/process/gateway/rotation_test.go
@@ -30,6 +30,7 @@
 	g := &Gateway{Name: "small", Domain: "d", LinkMbps: 10, HeaderCodec: bareCodec{}, Log: slog.New(slog.DiscardHandler), Schema: PlatformSchema{ReadyPath: "/ready"}}
 	g.targets, g.metrics = registrar.New(), newMetrics(nil, gauges{})
 	g.tracker = newTargetTracker(func() int { return 0 }, func() sharer.Membership { return sharer.Membership{} }, unbounded)
+	g.SetLimits(Limits{})
 	g.peers = g.newPeerLinks()
 	g.matcher.Store(matcher.New(&matcher.Document{}))
 	g.crashesKnown.Store(true)
--- a/internal/request/sharer/sharer.go
+++ b/internal/request/sharer/sharer.go
@@ -28,7 +28,7 @@
 // Membership is what a router knows of the routers of its fleet.
 type Membership struct {
 	// Self is the hash of this router's name, Routers the hashes of the names of all routers that
-	// have ever enrolled.
+	// may use a part.
 	Self    uint64
 	Routers []uint64
 	// ReadAt is when Routers was known to be up to date, EnrolledAt when this process was
