gateway: rows of members that have ended are written again after a copy

Seen by callers: after the store has come back from a copy of before a gateway or companion left, processes that start later elect it as a recorder of draws and share limits with it, and draw nothing until they have declared it gone themselves (4 s, or 12 s and then the window of 20 s).

Cause: the copy's row says "running". Processes that knew better kept that to themselves: Elector.Apply passes over the row, and nobody wrote the store's one. Once a minute was over they forgot the member too, since deleteExpired takes a changed row for a sign that others know more.

Why this works: the Elector notes that the newest row of a member is one of an ended life (TakenBack), and the router that tends the member's row writes the end again each second until the feed shows it. The write asks for exactly the row of the copy, so a process that has started since is not touched.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -60,6 +60,8 @@
 type history struct {
 	member enroller.Member
 	lives  []life // oldest first
+	// takenBack is set if the member has ended, and the last row read is an older one that says that it runs.
+	takenBack bool
 }
 
 // life is the time in which one process was a member.
@@ -98,6 +100,7 @@
 	case known && h.member.Incarnation == m.Incarnation && h.member.Joins > m.Joins:
 		return false
 	case sameLife && (m.State == enroller.Running || h.member.State == m.State):
+		h.takenBack = h.member.State != m.State
 		if h.member.State == enroller.Running {
 			h.member = m
 		}
@@ -109,7 +112,7 @@
 		h.end(now, h.member.Incarnation != m.Incarnation)
 		h.lives = append(h.lives, life{from: now})
 	}
-	h.member = m
+	h.member, h.takenBack = m, false
 	e.version++
 	return true
 }
@@ -170,6 +173,17 @@
 	return expired
 }
 
+// TakenBack returns the members that have ended though their rows say that they run, as the store has come back from
+// an older copy.
+func (e *Elector) TakenBack() (ended []enroller.Member) {
+	for _, h := range e.members {
+		if h.takenBack {
+			ended = append(ended, h.member)
+		}
+	}
+	return ended
+}
+
 // Routers returns the names of the routers that run, and of those that have left after a time or were declared
 // gone after another.
 func (e *Elector) Routers(leftAfter, goneAfter time.Time) (names []string) {
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -104,6 +104,13 @@
 			}
 			slices.Sort(all)
 			assert.Equal(t, strings.Join(all, " "), strings.Join(words[1:], " "), "line %d", line)
+		case "takenBack":
+			var all []string
+			for _, m := range e.TakenBack() {
+				all = append(all, m.Name)
+			}
+			slices.Sort(all)
+			assert.Equal(t, strings.Join(all, " "), strings.Join(words[1:], " "), "line %d", line)
 		case "routers":
 			all := e.Routers(at(now-leftWindow), at(now-goneWindow))
 			slices.Sort(all)
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -191,6 +191,13 @@
 	return p.members.Running()
 }
 
+// takenBack returns the members that have ended though the store's rows say that they run.
+func (p *peerLinks) takenBack() []enroller.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.TakenBack()
+}
+
 // membership returns what this router knows of the routers that share the fleet's budgets.
 func (g *Gateway) membership() sharer.Membership {
 	m := sharer.Membership{Self: sharer.Hash(g.Name)}
--- a/internal/process/gateway/recorders.go
+++ b/internal/process/gateway/recorders.go
@@ -168,6 +168,7 @@
 		g.peers.recountRouters(now)
 		g.updateLinks(ctx)
 		g.declareGone(ctx)
+		g.declareEnded(ctx)
 		g.deleteExpired(ctx, now)
 	}
 }
@@ -205,6 +206,18 @@
 	return unreachedFor >= limit || (refused && unreachedFor >= refusedAfter)
 }
 
+// declareEnded declares again what the store's copy has taken back: that members have ended.
+func (g *Gateway) declareEnded(ctx context.Context) {
+	for _, m := range g.peers.takenBack() {
+		if !g.tends(m) {
+			continue
+		}
+		running := m
+		running.State = enroller.Running
+		_ = enroller.Declare(ctx, g.store, g.Schema.RowKey(membersTable, "", m.Name), running, m.State) // tried again
+	}
+}
+
 // tends reports whether this router keeps a member's row: of the routers that are linked, one does so for each
 // member.
 func (g *Gateway) tends(m enroller.Member) bool {
