enroller: a process whose row was deleted joins again without its records

A companion that is cut off for more than 72 s is declared gone and its row is deleted a minute later. When it came back it took the missing row for one lost with a copy, enrolled as if nothing had been and kept the age of its records, though draws were recorded elsewhere meanwhile. A process that starts right after a drill takes such a companion for one that was there all the time, so a count that lacks draws could pass for complete: an overspend.

Evidence: TestMemberWhoseRowWasDeleted/in_the_same_era failed before (0 joins instead of 1).

Why this works: a copy that takes a row back begins an era, so a row that is missing in the era in which it was written was deleted. Stores that tell no era don't come back from copies; there nothing changes.

--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -125,15 +125,17 @@
 }
 
 // adopt takes over the version of the row that a conflict returned, and returns the row. If the row
-// tells that this process is gone, the process joins again.
+// tells that this process is gone, or was deleted after that, the process joins again.
 func (e *Enroller) adopt(conflict *storer.ConflictError) (row storer.Row) {
 	if len(conflict.Rows) > 0 {
 		row = conflict.Rows[0]
 	}
+	// A row that is missing in a later era, or one that isn't told, may be lost with a copy of the store.
+	deleted := row.Value == nil && e.version != 0 && e.era != 0 && e.era == conflict.Era
 	m, err := Decode(row)
 	gone := err == nil && m.Incarnation == e.Self.Incarnation && m.State == Gone && m.Joins >= e.Self.Joins
-	if gone && e.Self.State == Running {
-		e.Self.Joins = m.Joins + 1
+	if (deleted || gone) && e.Self.State == Running {
+		e.Self.Joins = max(e.Self.Joins, m.Joins) + 1
 		if e.OnGone != nil {
 			e.OnGone()
 		}
--- a/internal/process/enroller/enroller_test.go
+++ b/internal/process/enroller/enroller_test.go
@@ -76,6 +76,38 @@
 	})
 }
 
+// TestMemberWhoseRowWasDeleted deletes the row of a process that still runs: others have declared it gone and forgotten it.
+// It guards against records that count as complete though draws were recorded elsewhere meanwhile.
+func TestMemberWhoseRowWasDeleted(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		lost    bool // with a copy of the store
+		rejoins int
+	}{
+		{"in the same era", false, 1},
+		{"with a copy", true, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			const key = "processes//a"
+			store := storer.NewMemory()
+			store.SetEra(2)
+			self := enroller.Member{Name: "a", Incarnation: "a@1", Kind: enroller.Companion}
+			rejoins := 0
+			e := &enroller.Enroller{Store: store, Key: key, Self: self, OnGone: func() { rejoins++ }}
+			assert.NilError(t, e.Run(t.Context()))
+			assert.NilError(t, enroller.Delete(t.Context(), store, key, self))
+			if tt.lost {
+				store.SetEra(3)
+			}
+			assert.NilError(t, e.Run(t.Context()))
+			m, _ := read(t, store, key)
+			assert.Equal(t, m.State, enroller.Running)
+			assert.Equal(t, m.Joins, tt.rejoins)
+			assert.Equal(t, rejoins, tt.rejoins)
+		})
+	}
+}
+
 // TestLeavingAfterTheSuccessorHasStarted lets a process leave late, when the next one of its name has enrolled. It guards
 // against a successor that nobody reckons with.
 func TestLeavingAfterTheSuccessorHasStarted(t *testing.T) {
