reconciler: a router that had left before the copy has drawn nothing that the copy lacks

Its recorders had forgotten its draws, so all that was undrawn of all budgets counted as drawn by it.

Why this can't overspend: the store is linearizable and the row that tells of the leaving is written after the last commit of the gateway's holdings, so a copy that has this row shows all its draws. A process may rely on it if it read the row before the oldest copy that the drill can have used: MaxCopyAge before the beginning of the era that follows the router's last count, and earlier by as long as the process had not read the store when it saw that era. What recorders remember is counted all the same, and they must reply. Without such knowledge (the process has started since, or the leaving is as young as the copy) the router counts as before.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -202,6 +202,15 @@
 	return names
 }
 
+// LeftFor returns for how long a member is known to have left, or 0 if it hasn't.
+func (e *Elector) LeftFor(name string, now time.Time) time.Duration {
+	h, ok := e.members[name]
+	if !ok || h.member.State != enroller.Left {
+		return 0
+	}
+	return now.Sub(h.newest().to)
+}
+
 // Voter is a member of a Set.
 type Voter struct {
 	Member enroller.Member
--- a/internal/process/gateway/eras.go
+++ b/internal/process/gateway/eras.go
@@ -79,7 +79,7 @@
 	return &reconciler.Reconciler{
 		Store: g.store, Router: g.Name, FirstStart: g.FirstStart, Table: erasTable, Key: func(router string) string { return g.Schema.RowKey(erasTable, "", router) },
 		Holdings: g.allocator, Counter: &spender.Counter{Table: g.store, BudgetKey: g.budgetKey, HoldingKey: g.holdingKey},
-		Routers: g.listRouters, Known: g.peers.routerNames, Limits: g.budgetLimits, HasRows: g.hasHoldings, Fetch: g.fetchDraws,
+		Routers: g.listRouters, Known: g.peers.routerNames, Limits: g.budgetLimits, HasRows: g.hasHoldings, Fetch: g.fetchDraws, LeftFor: g.peers.leftFor, Unseen: g.storeUnseen,
 		OnCounted: func(era storer.Era, router string, method reconciler.Method, tokens int64) {
 			// Records of returned tokens make the sum negative, which a counter doesn't take.
 			g.metrics.countedTokens.WithLabelValues(string(method)).Add(float64(max(tokens, 0)))
@@ -122,6 +122,22 @@
 	return names
 }
 
+// storeUnseen returns for how long the store may have done what this process hasn't seen, if it sees it now.
+func (g *Gateway) storeUnseen() time.Duration {
+	v, ok := g.feeds.Load(membersTable)
+	if !ok {
+		return time.Since(g.startedAt)
+	}
+	return time.Since(v.(feedState).succeededAt) + feedWait
+}
+
+// leftFor returns for how long a router is known to have left, or 0 if it hasn't.
+func (p *peerLinks) leftFor(name string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.LeftFor(name, time.Now())
+}
+
 func (g *Gateway) hasHoldings(ctx context.Context, router string) (bool, error) {
 	batch, err := g.store.List(ctx, g.holdingKey(router, ""))
 	return len(batch.Rows) > 0, err
--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -4,7 +4,8 @@
 // The copy lacks what routers have drawn since. Each router that lives adds its own draws to the
 // rows again and says so in a row of the table of eras. For a router that doesn't, another one
 // counts the draws that it has recorded with other processes, and if these records are not
-// complete, all of the budgets. A router that has joined since has drawn nothing. Once all routers are counted, the rows show every token that
+// complete, all of the budgets. A router that has joined since has drawn nothing, one that had left before the
+// copy nothing that it lacks. Once all routers are counted, the rows show every token that
 // anybody may have, and draws are safe.
 //
 // # Usage
@@ -93,6 +94,11 @@
 	Routers func(ctx context.Context) ([]string, error)
 	Known   func() []string
 	Limits  func() map[string]int64
+	// LeftFor returns for how long this process has known that a router has left, 0 if it doesn't know of that.
+	LeftFor func(router string) time.Duration
+	// Unseen returns for how long the store may have been in a new era when this process sees it first; nil means
+	// not at all.
+	Unseen func() time.Duration
 	// HasRows reports whether the store has rows of a router's holdings.
 	HasRows func(ctx context.Context, router string) (bool, error)
 	// Fetch returns the draws that other processes remember of a router, and whether these
@@ -116,6 +122,8 @@
 type begin struct {
 	era storer.Era
 	at  time.Time
+	// unseen is how much earlier it may have begun, if this process could not read the store.
+	unseen time.Duration
 }
 
 // eraState is what is known of an era.
@@ -159,7 +167,11 @@
 	case first:
 		r.begun = []begin{{era: era, at: now.Add(-MaxUnseen)}}
 	default:
-		r.begun = append(r.begun, begin{era: era, at: now})
+		b := begin{era: era, at: now}
+		if r.Unseen != nil {
+			b.unseen = r.Unseen()
+		}
+		r.begun = append(r.begun, b)
 		if r.Known != nil {
 			r.current.known = r.Known()
 		}
@@ -312,13 +324,16 @@
 // earlier era.
 func (r *Reconciler) count(ctx context.Context, state eraState, l look, router string, last eraRow) {
 	elapsed := time.Since(state.seenAt)
-	age, known := r.lostFor(storer.Era(last.Era))
+	age, unseen, known := r.lostFor(storer.Era(last.Era))
 	draws, completeness := r.Fetch(ctx, router, age)
 	hasRows, err := r.HasRows(ctx, router)
 	if err != nil {
 		return
 	}
-	complete := completeness == recorder.Complete && known && state.recorded
+	complete := completeness == recorder.Complete && known && age <= recorder.KeepFor && state.recorded
+	if known && completeness != recorder.Unreached && r.LeftFor != nil && r.LeftFor(router) >= age+unseen {
+		complete = true // the copy shows all that it has drawn
+	}
 	isNew := !hasRows && last.Era == 0 && r.isNew(ctx, state, l, router, completeness, elapsed)
 	switch {
 	case complete || isNew:
@@ -335,8 +350,8 @@
 // lostFor returns how long ago draws may have been made that the rows of a router lack, if the router was
 // counted last in a given era, by whatever method. Its rows show all draws up to then, or the row that tells of
 // the count would be lost too. The next era began with a copy that may lack draws of MaxCopyAge. known is not set if
-// this process doesn't know when that was, or if the draws' records may have expired.
-func (r *Reconciler) lostFor(counted storer.Era) (age time.Duration, known bool) {
+// this process doesn't know when that was; unseen is how much earlier it may have begun.
+func (r *Reconciler) lostFor(counted storer.Era) (age, unseen time.Duration, known bool) {
 	const firstEra = 1 // of which nothing is lost
 	counted = max(counted, firstEra)
 	r.mu.Lock()
@@ -345,10 +360,9 @@
 		if b.era <= counted {
 			continue
 		}
-		age = time.Since(b.at) + MaxCopyAge
-		return age, age <= recorder.KeepFor && (i > 0 || b.era == counted+1)
+		return time.Since(b.at) + MaxCopyAge, b.unseen, i > 0 || b.era == counted+1
 	}
-	return MaxCopyAge, false // a newer era has begun
+	return MaxCopyAge, 0, false // a newer era has begun
 }
 
 // isNew reports whether a router without any row has drawn nothing. Without a row it has not before the
--- a/internal/process/reconciler/reconciler_test.go
+++ b/internal/process/reconciler/reconciler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,3 +115,57 @@
 		})
 	}
 }
+
+// TestRouterThatHasLeft counts a router after it has left, with recorders that have all started again since. It must
+// count at most only if it may have drawn after the copy. It did so always, and all budgets were withheld for good.
+func TestRouterThatHasLeft(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		completeness recorder.Completeness
+		leftBefore   time.Duration // the era; 0 if this process doesn't know that it has
+		unseen       time.Duration // for how long this process had not read the store when it saw the era
+		counted      storer.Era    // the era in which it was counted last
+		want         reconciler.Method
+	}{
+		{"before the copy", recorder.Reached, reconciler.MaxCopyAge, 0, 2, reconciler.Recorded},
+		{"maybe after the copy", recorder.Reached, reconciler.MaxCopyAge - time.Second, 0, 2, reconciler.AtMost},
+		{"maybe after the copy, as the store was out of reach", recorder.Reached, 20 * time.Second, 6 * time.Second, 2, reconciler.AtMost},
+		{"before the copy, and the recorders can't be reached", recorder.Unreached, time.Hour, 0, 2, reconciler.AtMost},
+		{"an hour before the copy", recorder.Reached, time.Hour, 0, 2, reconciler.Recorded},
+		{"before an era that this process doesn't know", recorder.Reached, time.Hour, 0, 1, reconciler.AtMost},
+		{"it hasn't", recorder.Reached, 0, 0, 2, reconciler.AtMost},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const era = 3
+				store := memory{storer.NewMemory()}
+				store.SetEra(era)
+				row := fmt.Sprintf(`{"era":%d,"method":"own","by":"left"}`, tt.counted)
+				assert.NilError(t, store.Commit(t.Context(), storer.Commit{Writes: []storer.Write{{Key: "eras/left", Value: []byte(row)}}}))
+				methods, began := make(map[string]reconciler.Method), time.Now()
+				r := &reconciler.Reconciler{
+					Store: store, Router: "self", Table: "eras", Key: func(router string) string { return "eras/" + router },
+					Holdings: holdings{}, Counter: counter{}, Limits: func() map[string]int64 { return nil },
+					Routers: func(context.Context) ([]string, error) { return []string{"self", "left"}, nil },
+					HasRows: func(context.Context, string) (bool, error) { return true, nil },
+					LeftFor: func(router string) time.Duration {
+						if router != "left" || tt.leftBefore == 0 {
+							return 0
+						}
+						return tt.leftBefore + time.Since(began)
+					},
+					Unseen: func() time.Duration { return tt.unseen },
+					Fetch: func(context.Context, string, time.Duration) (map[string]framer.Draw, recorder.Completeness) {
+						return nil, tt.completeness
+					},
+					OnCounted: func(_ storer.Era, router string, method reconciler.Method, _ int64) { methods[router] = method },
+				}
+				r.SetEra(era, false, 2)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				r.Run(ctx)
+				assert.Equal(t, methods["left"], tt.want)
+			})
+		})
+	}
+}
