--- a/internal/process/router/crashes_test.go
+++ b/internal/process/router/crashes_test.go
@@ -42,7 +42,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			agent.setScripts([][]string{tt.script})
-			url, stop := startRouterOn(t, tt.table)
+			url, stop := startRouterOn(t, tt.table, 2)
 			defer stop()
 			req, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
 			assert.NilError(t, err)
--- a/internal/process/router/responses_test.go
+++ b/internal/process/router/responses_test.go
@@ -171,7 +171,7 @@
 // startRouter runs a router with two targets behind one scripted agent and returns
 // the URL of the clients' API.
 func startRouter(t *testing.T, agent *scriptedAgent) string {
-	url, stop := startRouterOn(t, startAgent(t, agent))
+	url, stop := startRouterOn(t, startAgent(t, agent), 2)
 	t.Cleanup(stop)
 	return url
 }
@@ -199,7 +199,7 @@
 }
 
 // startRouterOn runs a router over a table until stop is called.
-func startRouterOn(t *testing.T, table storer.Table) (url string, stop func()) {
+func startRouterOn(t *testing.T, table storer.Table, targets int) (url string, stop func()) {
 	r := &router.Router{
 		Name: "router", Domain: "d", Secret: []byte(testSecret), Table: table,
 		Policy: spender.NewProportional(0, spender.DefaultTrendFactor), FlushInterval: 20 * time.Millisecond,
@@ -209,7 +209,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- r.Run(ctx) }()
-	for !r.Ready(2) {
+	for !r.Ready(targets) {
 		time.Sleep(5 * time.Millisecond)
 	}
 	return "http://" + r.ClientListener.Addr().String(), func() {
