--- a/internal/trial/soaker/faults.go
+++ b/internal/trial/soaker/faults.go
@@ -21,6 +21,11 @@
 	minFault = 200 * time.Millisecond
 	maxFault = 4 * time.Second
 	maxGap   = 900 * time.Millisecond
+	// minLongFreeze and maxLongFreeze limit the duration of a long freeze: others declare a process gone that they
+	// haven't reached for 12 s. longFreezeGap limits the time between two.
+	minLongFreeze = 13 * time.Second
+	maxLongFreeze = 20 * time.Second
+	longFreezeGap = 3 * time.Second
 	// endlessGap limits the time between the starts of two responses without end.
 	endlessGap = 4 * time.Second
 	// lateCommitDelay is the delay after which commits without a reply take effect.
@@ -366,9 +371,28 @@
 		sleep(ctx, randomDuration(random, seriesGap))
 		s.injectSequence(ctx, &wg, end, random, stopSeries, seriesGap)
 	})
+	wg.Go(func() {
+		if s.LongFreezes {
+			s.freezeLong(ctx, end)
+		}
+	})
 	s.injectSequence(ctx, &wg, end, s.random, faults, maxGap)
 }
 
+// freezeLong freezes one gateway after the other until end.
+func (s *Soak) freezeLong(ctx context.Context, end time.Time) {
+	random := rand.New(rand.NewPCG(s.Seed, 10))
+	for time.Now().Before(end) && ctx.Err() == nil {
+		sleep(ctx, randomDuration(random, longFreezeGap))
+		p := s.programs[random.IntN(s.Gateways)]
+		s.logEvent("begin long freeze", p.name)
+		p.freeze()
+		sleep(ctx, minLongFreeze+randomDuration(random, maxLongFreeze-minLongFreeze))
+		p.unfreeze()
+		s.logEvent("end long freeze", p.name)
+	}
+}
+
 // injectSequence starts random faults of a list until end.
 func (s *Soak) injectSequence(ctx context.Context, wg *sync.WaitGroup, end time.Time, sequence *rand.Rand, list []fault, gap time.Duration) {
 	for time.Now().Before(end) && ctx.Err() == nil {
--- a/internal/trial/soaker/soaker.go
+++ b/internal/trial/soaker/soaker.go
@@ -55,6 +55,8 @@
 	// PlannedOnly passes over the faults that disturb programs in ways that nobody plans: kills and
 	// freezes.
 	PlannedOnly bool
+	// LongFreezes adds freezes of gateways that last until the others have declared them gone.
+	LongFreezes bool
 	// FaultDuration is how long faults are injected, CalmDuration how long clients
 	// go on after all faults have ended.
 	FaultDuration time.Duration
--- a/internal/trial/soaker/soaker_test.go
+++ b/internal/trial/soaker/soaker_test.go
@@ -29,6 +29,7 @@
 	soakJobs          = flag.Int("soakJobs", 1, "number of seeds that run at once")
 	soakHarmful       = flag.Bool("soakHarmful", false, "add requests with parts that crash targets")
 	soakPlanned       = flag.Bool("soakPlanned", false, "neither kill nor freeze programs")
+	soakLongFreezes   = flag.Bool("soakLongFreezes", false, "freeze gateways until they are declared gone")
 	soakKeeping       = flag.Int("soakKeeping", 3, "number of clients that use connections until they are closed")
 )
 
@@ -57,6 +58,7 @@
 		Binary: binary, Dir: dir, Seed: seed, Gateways: *soakGateways, Companions: 2, Engines: *soakTargets - *soakTargets/3,
 		Services: *soakTargets / 3, Clients: 4 * *soakGateways, FaultDuration: *soakFaultDuration, CalmDuration: 6 * time.Second,
 		IgnoreConditions: p.ignoreConditions, HarmfulParts: p.harmfulParts, KeepingClients: *soakKeeping, PlannedOnly: p.plannedOnly,
+		LongFreezes: *soakLongFreezes,
 	}
 	findings, err := s.Run(t.Context())
 	assert.NilError(t, err)
