reconciler: a leaving counts only for processes that have read the store lately

A process that has not read the store for long may have missed that a router which left has started again under its old name and drawn. If that router then ended beside a drill, and its recorders were restarted, the process would count it as one that has drawn nothing: an overspend.

Evidence: the new case of TestRouterThatHasLeft, a process that had not read the store for six seconds when it saw the era, failed before (recorded instead of atMost).

--- a/internal/process/reconciler/reconciler.go
+++ b/internal/process/reconciler/reconciler.go
@@ -43,6 +43,9 @@
 	atMostAfter = 8 * time.Second
 	// MaxCopyAge is the age of the oldest copy from which the store comes back.
 	MaxCopyAge = 15 * time.Second
+	// maxMissed is how long a process may not have read the store and still knows which routers have left: a router
+	// that has started again meanwhile would be taken for one that has left.
+	maxMissed = 5 * time.Second
 	// MaxUnseen is how long an era may have lasted when a process starts and sees it first.
 	MaxUnseen = 15 * time.Second
 )
@@ -331,7 +334,7 @@
 		return
 	}
 	complete := completeness == recorder.Complete && known && age <= recorder.KeepFor && state.recorded
-	if known && completeness != recorder.Unreached && r.LeftFor != nil && r.LeftFor(router) >= age+unseen {
+	if known && unseen <= maxMissed && completeness != recorder.Unreached && r.LeftFor != nil && r.LeftFor(router) >= age+unseen {
 		complete = true // the copy shows all that it has drawn
 	}
 	isNew := !hasRows && last.Era == 0 && r.isNew(ctx, state, l, router, completeness, elapsed)
--- a/internal/process/reconciler/reconciler_test.go
+++ b/internal/process/reconciler/reconciler_test.go
@@ -129,7 +129,8 @@
 	}{
 		{"before the copy", recorder.Reached, reconciler.MaxCopyAge, 0, 2, reconciler.Recorded},
 		{"maybe after the copy", recorder.Reached, reconciler.MaxCopyAge - time.Second, 0, 2, reconciler.AtMost},
-		{"maybe after the copy, as the store was out of reach", recorder.Reached, 20 * time.Second, 6 * time.Second, 2, reconciler.AtMost},
+		{"maybe after the copy, as the store was out of reach", recorder.Reached, 18 * time.Second, 4 * time.Second, 2, reconciler.AtMost},
+		{"it may have started again, as the store was out of reach", recorder.Reached, time.Hour, 6 * time.Second, 2, reconciler.AtMost},
 		{"before the copy, and the recorders can't be reached", recorder.Unreached, time.Hour, 0, 2, reconciler.AtMost},
 		{"an hour before the copy", recorder.Reached, time.Hour, 0, 2, reconciler.Recorded},
 		{"before an era that this process doesn't know", recorder.Reached, time.Hour, 0, 1, reconciler.AtMost},
