elector: a leaving is remembered after its row was deleted

Found by reading; not played over processes.

Cause: a minute after the end of a member its row is deleted and it is forgotten. A copy of before that brings the row back, and the member counts as one that has left just now, so its draws must be shown by recorders again.

Evidence: members.txt, "an older copy brings back the row of a member that had left and was forgotten", failed before: left for 0 s instead of 65 s.

Why this works: the Elector keeps for two minutes when a process whose row was deleted had left, longer than any copy goes back, and takes that time if the row of the same process comes back.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -21,6 +21,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -54,6 +55,14 @@
 
 	members map[string]*history
 	version int
+	// removed holds when members left whose rows were deleted: an older copy of the store brings the rows back.
+	removed map[string]departure
+}
+
+// departure is when a process left, as far as known.
+type departure struct {
+	incarnation string
+	at          time.Time
 }
 
 // history is what is known of one member: the newest row and the times in which it ran.
@@ -95,6 +104,9 @@
 		}
 		if m.State != enroller.Running {
 			l = life{to: now, ended: m.State == enroller.Left} // it may have run until just now
+			if d := e.removed[m.Name]; l.ended && d.incarnation == m.Incarnation {
+				l.to = d.at
+			}
 		}
 		h.lives = []life{l}
 	case known && h.member.Incarnation == m.Incarnation && h.member.Joins > m.Joins:
@@ -131,10 +143,19 @@
 }
 
 // Remove removes a member whose row was deleted, if it has ended.
-func (e *Elector) Remove(name string) {
-	if h, ok := e.members[name]; ok && h.member.State != enroller.Running {
-		delete(e.members, name)
-		e.version++
+func (e *Elector) Remove(name string, now time.Time) {
+	h, ok := e.members[name]
+	if !ok || h.member.State == enroller.Running {
+		return
+	}
+	delete(e.members, name)
+	e.version++
+	maps.DeleteFunc(e.removed, func(_ string, d departure) bool { return now.Sub(d.at) > 2*KeepFor })
+	if h.member.State == enroller.Left {
+		if e.removed == nil {
+			e.removed = make(map[string]departure)
+		}
+		e.removed[name] = departure{incarnation: h.member.Incarnation, at: h.newest().to}
 	}
 }
 
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -87,7 +87,7 @@
 				e.Apply(member(t, words[1], text, state), at(now))
 			}
 		case "deleted":
-			e.Remove(words[1])
+			e.Remove(words[1], at(now))
 		case "members":
 			var all []string
 			for _, m := range e.Running() {
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -160,7 +160,7 @@
 func (p *peerLinks) remove(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members.Remove(name)
+	p.members.Remove(name, time.Now())
 	delete(p.rotations, name)
 	p.countRouters(time.Now())
 }
