recorder: a closed recorder in the same process is no reply

Evidence: TestClosedRecordersDontReply panicked before. Now both calls take it for a recorder that doesn't reply, as they do one at the end of a link.

--- a/internal/process/recorder/quorum.go
+++ b/internal/process/recorder/quorum.go
@@ -135,7 +135,8 @@
 	value *T
 }
 
-// ask calls all peers at once and returns a channel with the replies of those that give one.
+// ask calls all peers at once and returns a channel with the replies of those that give one. A recorder that is
+// closed gives none.
 func ask[T any](ctx context.Context, peers map[string]Peer, call func(ctx context.Context, p Peer) (*T, error)) <-chan answer[T] {
 	out := make(chan answer[T], len(peers))
 	var calls sync.WaitGroup
@@ -143,7 +144,7 @@
 		calls.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			if reply, err := call(callCtx, p); err == nil {
+			if reply, err := call(callCtx, p); err == nil && reply != nil {
 				out <- answer[T]{from: name, value: reply}
 			}
 		})
--- a/internal/process/recorder/recorder_test.go
+++ b/internal/process/recorder/recorder_test.go
@@ -117,3 +117,24 @@
 	r.Record(&framer.RecordDraws{Router: "other", Draws: []framer.Draw{{Organisation: "alpha", Commit: 1, Drawn: 1}}})
 	assert.Equal(t, len(r.Fetch(&framer.FetchDraws{Router: "r"}).Draws), 0)
 }
+
+// TestClosedRecordersDontReply asks recorders of which some are closed, as that of a process that stops is while it still
+// counts the draws of others. It guards against a process that ends by a nil pointer.
+func TestClosedRecordersDontReply(t *testing.T) {
+	peers := make(map[string]recorder.Peer)
+	var names []string
+	for i := range 3 {
+		p := &peer{Recorder: recorder.New(time.Now)}
+		names = append(names, strconv.Itoa(i))
+		peers[names[i]] = p
+		if i > 0 {
+			p.Close()
+		}
+	}
+	sets := []recorder.Set{recorder.NewSet(names)}
+	draws, completeness := recorder.Fetch(t.Context(), peers, sets, "r", 0)
+	assert.Equal(t, completeness, recorder.Unreached)
+	assert.Equal(t, len(draws), 0)
+	err := recorder.Record(t.Context(), peers, sets, &framer.RecordDraws{Router: "r"})
+	assert.ErrorIs(t, err, recorder.ErrNoQuorum)
+}
