gateway: a process that starts again is not gone since the one before it could not be reached

Cause: declareGone took how long the connector had not reached a name, whichever process bore it.

A test over a fleet (cut off, killed and started again at its address) did not show the fault in 8 plays on the code before and was not kept.

Now the time counts from when the process is known to run.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -223,6 +223,15 @@
 	return names
 }
 
+// RunsFor returns for how long a member has run, as far as known.
+func (e *Elector) RunsFor(name string, now time.Time) time.Duration {
+	h, ok := e.members[name]
+	if !ok || h.member.State != enroller.Running {
+		return 0
+	}
+	return now.Sub(h.newest().from)
+}
+
 // LeftFor returns for how long a member is known to have left, or 0 if it hasn't.
 func (e *Elector) LeftFor(name string, now time.Time) time.Duration {
 	h, ok := e.members[name]
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -115,6 +115,8 @@
 			all := e.Routers(at(now-leftWindow), at(now-goneWindow))
 			slices.Sort(all)
 			assert.Equal(t, strings.Join(all, " "), strings.Join(words[1:], " "), "line %d", line)
+		case "runsFor":
+			assert.Equal(t, fmt.Sprint(e.RunsFor(words[1], at(now)).Seconds()), words[2], "line %d", line)
 		case "leftFor":
 			assert.Equal(t, fmt.Sprint(e.LeftFor(words[1], at(now)).Seconds()), words[2], "line %d", line)
 		case "sets": // sets of router r: MEMBERS write N, separated by ;
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -191,6 +191,15 @@
 	return p.members.Running()
 }
 
+// unreached returns for how long a process that runs could not be reached since it has enrolled, and whether its host
+// replies that no process listens.
+func (p *peerLinks) unreached(m enroller.Member) (since time.Duration, refused bool) {
+	since, refused = p.connectorOf(m).Unreached(m.Name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(since, p.members.RunsFor(m.Name, time.Now())), refused
+}
+
 // takenBack returns the members that have ended though the store's rows say that they run.
 func (p *peerLinks) takenBack() []enroller.Member {
 	p.mu.Lock()
--- a/internal/process/gateway/recorders.go
+++ b/internal/process/gateway/recorders.go
@@ -185,7 +185,7 @@
 		recorders = append(recorders, v.Member.Name)
 	}
 	for _, m := range g.peers.running() {
-		since, refused := g.peers.connectorOf(m).Unreached(m.Name)
+		since, refused := g.peers.unreached(m)
 		if !isGone(m, since, refused, limit) || !(slices.Contains(recorders, m.Name) || (m.Kind == enroller.Router && g.tends(m))) {
 			continue
 		}
