--- a/internal/process/gateway/recorders.go
+++ b/internal/process/gateway/recorders.go
@@ -186,9 +186,12 @@
 	}
 	for _, m := range g.peers.running() {
 		since, refused := g.peers.unreached(m)
-		if !isGone(m, since, refused, limit) || !(slices.Contains(recorders, m.Name) || (m.Kind == enroller.Router && g.tends(m))) {
+		if !isGone(m, since, refused, limit) {
 			continue
 		}
+		if !slices.Contains(recorders, m.Name) && (m.Kind != enroller.Router || !g.tends(m)) {
+			continue // another router declares it
+		}
 		if err := enroller.Declare(ctx, g.store, g.Schema.RowKey(membersTable, "", m.Name), m, enroller.Gone); err != nil {
 			continue // tried again
 		}
--- a/internal/process/router/uploads_test.go
+++ b/internal/process/router/uploads_test.go
@@ -57,7 +57,7 @@
 	go func() { done <- a.Run(ctx, agents, time.Second) }()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		assert.Check(t, <-done == nil)
 	})
 	_, err := (&patcher.Patcher{Table: table}).Apply(t.Context(), &declarer.Fleet{
 		Organisations: []declarer.Organisation{{Name: "alpha", KeyHash: declarer.HashKey("key"), Budget: 1_000_000, Weight: 1}},
@@ -74,7 +74,7 @@
 func pacedReader(body string, piece int, pause time.Duration) io.Reader {
 	r, w := io.Pipe()
 	go func() {
-		defer w.Close()
+		defer func() { _ = w.Close() }()
 		for body != "" {
 			time.Sleep(pause)
 			n := min(piece, len(body))
